--- /dev/null
+++ b/deploy/run.sh
@@ -0,0 +1,18 @@
+#!/bin/sh
+# One proxy on sockets. The JVM's caps come from the memory that the configuration allows, since the program itself
+# reads it too late. The whole heap is touched at the start: what fills it later, garbage mostly, is then no growth.
+memory=$(sed -n 's/.*"memory_mb" *: *\([0-9][0-9]*\).*/\1/p' "$NODE_CONFIG" 2>/dev/null | head -n 1)
+memory=${memory:-128}
+heap=$(((memory - 60) / 2))
+[ "$heap" -ge 16 ] || heap=16
+[ "$heap" -le 64 ] || heap=64
+direct=$((memory / 10))
+[ "$direct" -ge 8 ] || direct=8
+export MALLOC_ARENA_MAX=1
+exec java -Xms${heap}m -Xmx${heap}m -Xmn$((heap * 2 / 5))m -XX:MaxDirectMemorySize=${direct}m -XX:+AlwaysPreTouch \
+    -XX:+UseSerialGC -XX:SharedArchiveFile=target/pathgw.jsa -Xlog:cds=off,cds+dynamic=off -XX:-UsePerfData \
+    -XX:ActiveProcessorCount=1 -XX:TieredStopAtLevel=1 -XX:ThreadPriorityPolicy=1 -XX:CompilerThreadPriority=10 \
+    -Xss512k -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m \
+    -Djava.util.logging.manager=pathgw.net.LastingLogs -Djava.util.logging.config.file=deploy/logging.properties \
+    -Dvertx.disableDnsResolver=true -Dio.netty.jfr.enabled=false -Dio.netty.allocator.numDirectArenas=1 \
+    -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.maxOrder=3 -jar target/pathgw.jar serve
