--- a/src/main/java/pathgw/Kind.java
+++ b/src/main/java/pathgw/Kind.java
@@ -2,7 +2,6 @@
 
 /** What nodes of one machine kind do: one proxy meets a single node too seldom to learn it of each. */
 final class Kind {
-    boolean met;
     double late;
     double part = 1;
 }
