--- a/src/test/java/pathgw/ClientProxyTest.java
+++ b/src/test/java/pathgw/ClientProxyTest.java
@@ -84,6 +84,26 @@
         assertTrue(weak > 10 && weak < 80, weak + " of 200");
     }
 
+    @Test
+    void namedWorkSetsHowLongAnAnswerMayTake() {
+        Pace pace = new Pace();
+        assertEquals(1, pace.scale(Bed.START));
+        assertEquals(1, pace.scale(Bed.ms(100)));
+        assertTrue(pace.scale(Bed.ms(1000)) > 3 && pace.scale(Bed.ms(1)) < 0.6);
+    }
+
+    @Test
+    void aCrowdIsTakenForOneBeforeThoseInItAreLost() {
+        Bed bed = Bed.ofAClient().list(NODES);
+        for (int id = 1; id <= 200; id++) {
+            bed.decide.access(id, 0, 0, id, Bed.ms(5000), Bed.ms(100), false, false);
+        }
+        bed.pull().at(1_000).asks(300, 0, 0, 300);
+        assertEquals(0, bed.count("deny"));
+        bed.at(1_600).pull().asks(301, 0, 0, 301);
+        assertTrue(bed.said.contains("deny 301"), "0.9 s before the first of them is given up");
+    }
+
     @Test
     void whatWasLearntOfANodeGoesOnAndWhatIsSeenSinceStands() {
         Bed bed = Bed.ofAClient(50).list(NODES);
