--- a/src/test/java/pathgw/ClientProxyTest.java
+++ b/src/test/java/pathgw/ClientProxyTest.java
@@ -31,7 +31,8 @@
         assertNotEquals(node, bed.sentTo.get(1));
         assertEquals(0, bed.count("fetch list"));
         long another = LongStream.iterate(9, k -> k + 1).filter(k -> LongStream.rangeClosed(1, 4)
-                .allMatch(n -> Decide.compare(Decide.score(node, "" + k), node, Decide.score(n, "" + k), n) >= 0))
+                .allMatch(n -> Decide.compare(
+                        Decide.score(node, "" + k), node, Decide.score(n, "" + k), n) >= 0))
                 .findFirst().getAsLong();
         bed.at(20_000).asks(2, 0, 0, another);
         assertEquals(node, bed.sentTo.get(2));
--- a/src/test/java/pathgw/FirstSecondsTest.java
+++ b/src/test/java/pathgw/FirstSecondsTest.java
@@ -9,7 +9,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
-/** The first ten seconds after the move: 100 proxies begin at once at 64 nodes that take 22 connections each. */
+/** The first ten seconds after the move: 100 proxies begin at once at 64 nodes with 22 places each. */
 class FirstSecondsTest {
     private static final int PROXIES = 100;
     private static final int NODES = 64;
@@ -68,6 +68,7 @@
         }
         assertTrue(sent > 9_000, sent + " sent");
         assertTrue(refused < 0.1 * sent, refused + " of " + sent + " refused");
-        assertTrue(proxies.stream().allMatch(p -> p.bed.count("fetch list") == 0), "nobody asks the list again");
+        assertTrue(proxies.stream().allMatch(p -> p.bed.count("fetch list") == 0),
+                "nobody asks the list again");
     }
 }
