--- a/src/test/java/pathgw/net/KeepsakeTest.java
+++ b/src/test/java/pathgw/net/KeepsakeTest.java
@@ -93,7 +93,7 @@
     }
 
     @Test
-    void nothingIsLeftForNodesThatTheFirstListDoesNotName() {
+    void nothingIsLeftAfterTheFirstNewsFromDiscovery() {
         Keepsake kept = Keepsake.read(file, 2000);
         kept.forgetRest();
         Decide after = module();
