--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,7 +1,17 @@
 #!/bin/sh
 # One proxy on sockets. The JVM's caps come from the memory that the configuration allows, since the program itself
 # reads it too late. The whole heap is touched at the start: what fills it later, garbage mostly, is then no growth.
-memory=$(sed -n 's/.*"memory_mb" *: *\([0-9][0-9]*\).*/\1/p' "$NODE_CONFIG" 2>/dev/null | head -n 1)
+# Read by the shell itself: where proxies may start no other program, a substitution or a pipe fails, and with it the start.
+memory=
+while IFS= read -r line || [ -n "$line" ]; do
+    case $line in *'"memory_mb"'*)
+        line=${line#*'"memory_mb"'}
+        line=${line#*:}
+        line=${line#"${line%%[0-9]*}"}
+        memory=${line%%[!0-9]*}
+        break ;;
+    esac
+done <"${NODE_CONFIG:-/dev/null}"
 memory=${memory:-128}
 heap=$(((memory - 60) / 2))
 [ "$heap" -ge 16 ] || heap=16
