--- a/src/test/java/pathgw/HouseTest.java
+++ b/src/test/java/pathgw/HouseTest.java
@@ -42,6 +42,13 @@
                 .resideInAnyPackage("pathgw.net..", "pathgw.simulation..", "pathgw.command..").check(HOUSE);
     }
 
+    /** It loads time zones and locales, which a proxy that starts again does while its clients go unserved. */
+    @Test
+    void nothingLoadsTheMapperOfTheJsonLibrary() {
+        noClasses().should().dependOnClassesThat()
+                .haveFullyQualifiedName("com.fasterxml.jackson.databind.ObjectMapper").check(HOUSE);
+    }
+
     @Test
     void oneClassKnowsSocketsAndOneTheTime() {
         noClasses().that().doNotHaveFullyQualifiedName("pathgw.net.Rehearsal")
