--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -3,16 +3,23 @@
 # reads it too late. The whole heap is touched at the start: what fills it later, garbage mostly, is then no growth.
 # Read by the shell itself: where proxies may start no other program, a substitution or a pipe fails, and with it the start.
 memory=
-while IFS= read -r line || [ -n "$line" ]; do
-    case $line in *'"memory_mb"'*)
-        line=${line#*'"memory_mb"'}
-        line=${line#*:}
-        line=${line#"${line%%[0-9]*}"}
-        memory=${line%%[!0-9]*}
-        break ;;
-    esac
-done <"${NODE_CONFIG:-/dev/null}"
-memory=${memory:-128}
+if [ -r "${NODE_CONFIG:-}" ]; then
+    while IFS= read -r line || [ -n "$line" ]; do
+        case $line in *'"memory_mb"'*)
+            line=${line#*'"memory_mb"'}
+            line=${line#*:}
+            line=${line#"${line%%[! ]*}"}
+            memory=${line%%[!0-9]*}
+            break ;;
+        esac
+    done <"$NODE_CONFIG"
+fi
+# A wrong cap shows only hours later, when the process is killed for its memory: so it is said at once.
+case $memory in
+'' | 0* | ???????*)
+    echo "run.sh: no usable limits.memory_mb in NODE_CONFIG '${NODE_CONFIG:-}': taking 128" >&2
+    memory=128 ;;
+esac
 heap=$(((memory - 60) / 2))
 [ "$heap" -ge 16 ] || heap=16
 [ "$heap" -le 64 ] || heap=64
