Simulation: fleets of up to 100 proxies and 200 nodes, zones lost, restarts, fleet sums

The referee adds up list calls, connections, hand-offs to cold and warm nodes and fetches over all proxies.

--- a/src/main/java/pathgw/command/Simulate.java
+++ b/src/main/java/pathgw/command/Simulate.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
@@ -38,6 +39,8 @@
     private What what;
     @Option(names = "--jobs", paramLabel = "N", description = "Threads; as many as cores by default.")
     private int jobs = Runtime.getRuntime().availableProcessors();
+    @Option(names = "--fleet", description = "Seeds draw fleets of up to 100 proxies and 200 nodes.")
+    private boolean fleet;
     @Option(names = "--trace", description = "Prints all that happens in one run.")
     private boolean trace;
     @Option(names = "--counts", description = "Prints how often each trouble, end and answer came.")
@@ -58,7 +61,7 @@
         if (what.seed != null && what.seed < 0) {
             throw new ParameterException(spec.commandLine(), "--seed is below 0");
         }
-        String script = what.seed != null ? Seeds.script(what.seed) : read(what.script);
+        String script = what.seed != null ? Seeds.script(what.seed, fleet) : read(what.script);
         try {
             String breach = Seeds.trace(script, trace ? System.out::println : null);
             System.out.println(breach == null ? "all rules kept" : script + breach);
@@ -96,11 +99,13 @@
         long to = Long.parseLong(range[1]);
         long began = System.nanoTime();
         boolean terminal = System.console() != null;
-        Seeds.Sum sum = Seeds.play(from, to, jobs, true, so -> {
-            if (terminal && so[0] % 50 == 0) {
+        Consumer<long[]> played = so -> {
+            if (terminal && so[0] % (fleet ? 1 : 50) == 0) {
                 System.err.printf("\r%d of %d seeds, %d failed ", so[0], to - from + 1, so[1]);
             }
-        });
+        };
+        Seeds.Sum sum = fleet ? Seeds.fleets(from, to, jobs, true, played)
+                : Seeds.play(from, to, jobs, true, played);
         for (Seeds.Failure f : sum.failed()) {
             System.out.println("seed " + f.seed() + ": " + f.breach());
             if (!f.shrunk().isEmpty()) {
--- a/src/main/java/pathgw/simulation/Draw.java
+++ b/src/main/java/pathgw/simulation/Draw.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import pathgw.simulation.Fault.Kind;
+import pathgw.simulation.Script.Fleet;
 
 /**
  * Draws a whole script from a seed: the shape, and troubles that come singly, together and over each other.
@@ -40,7 +41,7 @@
                         warmUp,
                 (3 + chance.nextInt(6)) / 2.0, (3 + chance.nextInt(4)) / 2.0,
                 chance.nextInt(3) == 0 ? 160 + chance.nextInt(100) : 1024, chance.nextInt(3) == 0 ? 0.5 : 0,
-                        List.of());
+                        Script.PLAIN.fleet(), List.of());
         List<Fault> faults = new ArrayList<>();
         int spells = 1 + chance.nextInt(5);
         for (int i = 0; i < spells; i++) {
@@ -53,8 +54,40 @@
         return shape.with(faults);
     }
 
+    /** Up to 100 proxies that see some tens of accesses a second at most, over up to 200 nodes. */
+    static Script fleet(long seed) {
+        return new Draw(seed).fleet().with("seed", seed);
+    }
+
+    private Script fleet() {
+        int proxies = 60 + chance.nextInt(41);
+        int nodes = 80 + chance.nextInt(121);
+        int zones = 2 + chance.nextInt(4);
+        Script shape = new Script(0, LASTS, proxies, nodes, false, "all", 200, proxies * (3 + chance.nextInt(6)),
+                10 * nodes, 0.7 + chance.nextInt(3) / 10.0, 0, 0, 2 + chance.nextInt(3) / 2.0, 3, 512, 0,
+                new Fleet(zones, 0.3 + chance.nextInt(6) / 10.0, 40, proxies / 6.0), List.of());
+        long at = 1000 + chance.nextInt(2000);
+        List<Fault> faults = new ArrayList<>();
+        // Each of these alone would be the hour that everybody talks about; here two meet, and smaller ones.
+        for (int i = 0; i < 2; i++) {
+            long lasts = 3000 + chance.nextInt(4000);
+            faults.add(switch (chance.nextInt(5)) {
+                case 0 -> new Fault(at, 500 + chance.nextInt(2500), Kind.RESTART, -1, 0.7);
+                case 1 -> new Fault(at, 5000, Kind.ZONE_LOST, -1, chance.nextInt(zones));
+                case 2 -> new Fault(at, 5000, Kind.ZONE_SILENT, -1, chance.nextInt(zones));
+                case 3 -> new Fault(at, 7000, Kind.DEPLOY, -1, 0.6);
+                default -> new Fault(at, lasts, Kind.GREED, -1, 3 + chance.nextInt(5));
+            });
+            at += chance.nextInt(2000);
+        }
+        for (int i = 0; i < 6; i++) {
+            faults.add(fault(1000 + chance.nextInt(6000), shape));
+        }
+        return shape.with(faults);
+    }
+
     private Fault fault(long at, Script shape) {
-        Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
+        Kind kind = Kind.values()[chance.nextInt(Kind.ANY_FLEET)];
         int target = switch (kind.on) {
             case NODE -> chance.nextInt(shape.nodes());
             case PROXY -> chance.nextInt(shape.proxies());
--- a/src/main/java/pathgw/simulation/Fault.java
+++ b/src/main/java/pathgw/simulation/Fault.java
@@ -80,7 +80,16 @@
         /** One customer asks so many times as much. */
         GREED(On.WORLD, true),
         /** So great a share of the clients leaves before the answer. */
-        LEAVE(On.WORLD, true);
+        LEAVE(On.WORLD, true),
+        /** So great a share of the proxies killed at once, and started again with their last list. */
+        RESTART(On.WORLD, true),
+        /** All nodes of the zone of this number die at once and come back cold. */
+        ZONE_LOST(On.WORLD, true),
+        /** The machines of the zone of this number are cut off. */
+        ZONE_SILENT(On.WORLD, true);
+
+        /** So many come first that befall any fleet; the rest are drawn for large ones alone. */
+        static final int ANY_FLEET = LEAVE.ordinal() + 1;
 
         final On on;
         final boolean measured;
--- a/src/main/java/pathgw/simulation/Play.java
+++ b/src/main/java/pathgw/simulation/Play.java
@@ -37,7 +37,6 @@
     private static final long SLACK_MS = 50;
     private static final long GRACE_MS = 500;
     private static final int MAX_HAND_OFFS = 4;
-    private static final int ZONES = 2;
     private static final int CELLS = 3;
     /** What the list has to tell counts as told by then. */
     private static final Duration TOLD_WITHIN = Duration.ofSeconds(6);
@@ -78,19 +77,21 @@
         final String host;
         final Mischief mischief = new Mischief();
         final int number;
+        final int zones;
         Address dial;
         Process process;
         CacheNode node;
         long bornMs;
         boolean going;
 
-        Node(String host, int number) {
+        Node(String host, int number, int zones) {
             this.host = host;
             this.number = number;
+            this.zones = zones;
         }
 
         NodeList.Entry entry(String health) {
-            return new NodeList.Entry(host, dial.toString(), "z" + number % ZONES, "std", number % CELLS,
+            return new NodeList.Entry(host, dial.toString(), "z" + number % zones, "std", number % CELLS,
                     health,
                     bornMs);
         }
@@ -134,17 +135,18 @@
         listProcess = process("list");
         originProcess = process("origin");
         list = new NodeList(listProcess, chance("list"), new ToldWitness());
+        list.takes(script.fleet().calls());
         int slots = Math.max(3, (int) Math.ceil(script.rate() * 0.01 * script.room()));
         origin = new Origin("origin", originProcess, chance("origin"), referee, originMischief,
                 new Origin.Figures(
                 slots, Duration.ofMillis(25), 64, 200, NODE_IDLE, 2.5, FALL_FOR, Duration.ofSeconds(3),
                 Duration.ofMillis(script.memoryMs())), new Copies());
         double service = Math.max(0.004, Math.min(0.06, script.nodes() / (script.room() * script.rate())));
-        nodeFigures = new CacheNode.Figures(1, Duration.ofNanos((long) (service * 1e9)), 24, 60, NODE_IDLE,
+        nodeFigures = new CacheNode.Figures(1, Duration.ofNanos((long) (service * 1e9)), 24, script.fleet().places(), NODE_IDLE,
                 COLD_FROM,
                 COLD_FOR, script.tips(), FALL_FOR, 4096, script.through() ? origin : null);
         clients = new Clients(clientsProcess, chance("clients"), this::open, referee, script.proxies(),
-                offerings(),
+                script.fleet().uneven(), offerings(),
                 List.of("one", "two", "three"), script.keys(), script.skew());
     }
 
@@ -281,6 +283,7 @@
     /** Reads along on what a proxy sends to a node or the origin. */
     private void tap(int proxy, VirtualPipe pipe) {
         String place = pipe.ownerThere().name;
+        referee.opened(place);
         boolean http = place.equals("origin");
         if (!http && !place.startsWith("n")) {
             return;
@@ -315,7 +318,7 @@
     }
 
     private Node newNode() {
-        Node n = new Node("n" + hosts, hosts++);
+        Node n = new Node("n" + hosts, hosts++, script.fleet().zones());
         nodes.add(n);
         return n;
     }
@@ -323,11 +326,12 @@
     /** A process for this node, at a new address if it has none. */
     private void begin(Node n, boolean cold) {
         n.process = process(n.host);
-        n.dial = n.dial == null ? new Address("10.1." + incarnations++ + ".1", 11211) : n.dial;
+        n.dial = n.dial == null ? new Address(
+                "10.1." + incarnations % 250 + "." + (1 + incarnations++ / 250), 11211) : n.dial;
         n.bornMs = cold ? ProxyOutside.EPOCH_MS + events.now() / 1_000_000 : 0;
         Process own = n.process;
         String group = switch (script.group()) {
-            case "zone" -> "z" + n.number % ZONES;
+            case "zone" -> "z" + n.number % n.zones;
             case "cell" -> "c" + n.number % CELLS;
             default -> "all";
         };
@@ -374,6 +378,10 @@
     }
 
     private void knows(Gate g) {
+        // Told of each of 200 nodes in turn, it knows no more than by the first.
+        if (g.known != null && g.knownVersion == list.seq()) {
+            return;
+        }
         g.known = list.whole();
         g.knownVersion = list.seq();
         Map<String, String> health = new LinkedHashMap<>();
@@ -386,8 +394,9 @@
         long version = list.seq();
         long since = events.now();
         if (!health.equals("ready")) {
+            // What has changed back by then nobody can be told any more.
             events.in(TOLD_WITHIN.toNanos(), null, () -> gates.forEach(g -> {
-                if (g.bornAt < since && listTroubledUntil < since && !g.process.dead()) {
+                if (list.says(n.host, health) && g.bornAt < since && listTroubledUntil < since && !g.process.dead()) {
                     referee.countsAsTold(g.number, n.host, health, version);
                 }
             }));
@@ -453,12 +462,16 @@
         for (int i = 0; i < script.proxies(); i++) {
             peers.append(i == 0 ? "" : ",").append("\"10.0.").append(i).append(".1:7946\"");
         }
+        StringBuilder zones = new StringBuilder();
+        for (int i = 0; i < script.fleet().zones(); i++) {
+            zones.append(i == 0 ? "" : ",").append("\"z").append(i).append('"');
+        }
         double quota = script.rate() * 0.6;
         return String.format(Locale.ROOT,
                 "{\"name\":\"p%d\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\","
                 + "\"limits\":{\"sockets\":%d},"
                 + "\"peer_listen\":\"%s:7946\",\"peers\":[%s],\"peers_all\":\"%s\","
-                + "\"known\":%s,\"settings\":{\"instances\":%d,\"zones\":[\"z0\",\"z1\"],"
+                + "\"known\":%s,\"settings\":{\"instances\":%d,\"zones\":[%s],"
                 + "\"hostTypes\":[\"std\",\"origin\"],\"familyInfo\":{\"mode\":\"%s\",\"originKind\":%d},"
                 + "\"customers\":[{\"name\":\"one\",\"quotaPerS\":%f},{\"name\":\"two\",\"quotaPerS\":%f},"
                 + "{\"name\":\"three\",\"quotaPerS\":%f}],\"offerings\":[%s,%s,%s],"
@@ -469,7 +482,7 @@
                 + "\"coldFrom\":%f,\"coldNs\":%d,\"tipMultiple\":%f,\"fallNs\":%d,\"answerSlackNs\":%d}}}",
                 g.number, g.listen(), listAt, script.seed() * 31 + g.number + events.now(), script.sockets(),
                         g.host(),
-                peers, PEERS_ALL, g.known, script.proxies(), script.through() ? "through" : "aside",
+                peers, PEERS_ALL, g.known, script.proxies(), zones, script.through() ? "through" : "aside",
                 script.through() ? -1 : 1, quota, quota, quota, offering("read", "free", 400, 1400),
                 offering("hold", "guarded", 150, 900), offering("book", "single_shot", 400, 1400),
                         MAX_HAND_OFFS,
@@ -500,7 +513,12 @@
 
     @Override
     public int zone(String place) {
-        return place.startsWith("n") ? Integer.parseInt(place.substring(1)) % ZONES : 0;
+        return place.startsWith("n") ? Integer.parseInt(place.substring(1)) % script.fleet().zones() : 0;
+    }
+
+    @Override
+    public boolean cold(String place) {
+        return place.startsWith("n") && nodes.get(Integer.parseInt(place.substring(1))).node.cold();
     }
 
     @Override
@@ -584,8 +602,7 @@
                     net.datagrams(0, 0));
             case KILLED -> {
                 if (!g.process.dead()) {
-                    kill(g);
-                    events.in(Math.max(1, f.forMs()) * 1_000_000, null, () -> begin(g));
+                    restart(g, f.forMs());
                 }
             }
             case STOPPED -> {
@@ -599,9 +616,22 @@
             case HOT -> during(f, () -> h.hot = f.by(), () -> h.hot = 0);
             case GREED -> during(f, () -> h.greed = f.by(), () -> h.greed = 1);
             case LEAVE -> during(f, () -> h.leaves = f.by(), () -> h.leaves = 0);
+            case RESTART -> gates.stream().limit((long) (gates.size() * Math.min(1, f.by())))
+                    .filter(gate -> !gate.process.dead()).forEach(gate -> restart(gate, f.forMs()));
+            case ZONE_LOST -> zone(f).forEach(node -> die(node, f));
+            case ZONE_SILENT -> zone(f).forEach(node -> vanish(node, f));
         }
     }
 
+    private void restart(Gate g, long againMs) {
+        kill(g);
+        events.in(Math.max(1, againMs) * 1_000_000, null, () -> begin(g));
+    }
+
+    private List<Node> zone(Fault f) {
+        return nodes.stream().filter(n -> n.number % n.zones == (int) f.by() % n.zones).toList();
+    }
+
     private void during(Fault f, Runnable begins, Runnable ends) {
         begins.run();
         if (f.forMs() > 0) {
--- a/src/main/java/pathgw/simulation/Referee.java
+++ b/src/main/java/pathgw/simulation/Referee.java
@@ -35,6 +35,8 @@
 
         boolean dead(int proxy);
 
+        boolean cold(String place);
+
         /** Where a place stands, for groups: its zone or its cell. */
         int zone(String place);
 
@@ -51,6 +53,9 @@
     private static final double SERVICE = 0.8;
     private static final long RUDE_WITHIN = 3_000_000_000L;
 
+    /** Marks what is no sum. */
+    static final String MOST = ", most in a second";
+
     private static final class HandOff {
         final String place;
         final long last;
@@ -90,6 +95,7 @@
     private final Map<String, Course> courses = new HashMap<>();
     private final List<Map<String, Told>> told = new ArrayList<>();
     private final Map<String, Long> counts = new TreeMap<>();
+    private final Map<String, long[]> seconds = new TreeMap<>();
     private long asked;
     private long served;
     private long countFrom = Long.MAX_VALUE;
@@ -118,6 +124,25 @@
         counts.merge(what, 1L, Long::sum);
     }
 
+    /** What each proxy does alone adds up: a sum over all, and the most of it in one second. */
+    private void addsUp(String what) {
+        count("fleet " + what);
+        long second = events.now() / 1_000_000_000;
+        long[] of = seconds.computeIfAbsent(what, first -> new long[2]);
+        of[1] = of[0] == second ? of[1] + 1 : 1;
+        of[0] = second;
+        counts.merge("fleet " + what + MOST, of[1], Math::max);
+    }
+
+    /** A proxy has opened a connection. */
+    void opened(String place) {
+        if (place.equals("list")) {
+            addsUp("list calls");
+        } else if (place.startsWith("n")) {
+            addsUp("connections to nodes");
+        }
+    }
+
     /** Service counts for first tries from now on. */
     void countFromNow() {
         countFrom = events.now();
@@ -202,6 +227,8 @@
     void handedOff(int proxy, String place, Request request, long first) {
         long now = events.now();
         note(request.id().hashCode(), () -> "p" + proxy + " hands " + request.id() + " to " + place);
+        addsUp(place.equals("origin") ? "fetches and writes at the origin"
+                : world.cold(place) ? "hand-offs to cold nodes" : "hand-offs to warm nodes");
         Course c = courses.get(request.id());
         if (c == null) {
             return;
--- a/src/main/java/pathgw/simulation/Script.java
+++ b/src/main/java/pathgw/simulation/Script.java
@@ -22,20 +22,33 @@
  * @param tips     a cold node falls over at so many times what it bears then
  * @param sockets  descriptors of a proxy
  * @param stay     the share of clients that ask once and keep their connection for good
+ * @param fleet    what only a large fleet makes felt
  * @param faults   in the order of their times
  */
 record Script(long seed, long lastsMs, int proxies, int nodes, boolean through, String group, long memoryMs,
         double rate, int keys, double skew, double rude, int warmUp, double room, double tips, int sockets,
-                double stay, List<Fault> faults) {
+                double stay, Fleet fleet, List<Fault> faults) {
+
+    /**
+     * @param zones  over which the nodes are spread
+     * @param uneven how unlike the proxies' traffic is: exponent of Zipf's law, 0 for all alike
+     * @param places connections that a node takes
+     * @param calls  a second that the node list works off in turn; 0 for any number
+     */
+    record Fleet(int zones, double uneven, int places, double calls) {
+        Fleet with(String word, double to) {
+            return new Fleet(word.equals("zones") ? (int) to : zones, word.equals("uneven") ? to : uneven,
+                    word.equals("places") ? (int) to : places, word.equals("calls") ? to : calls);
+        }
+    }
 
     static final Script PLAIN = new Script(1, 20_000, 2, 6, false, "all", 400, 40, 100, 1, 0, 0, 3, 3, 1024,
-            0,
-            List.of());
+            0, new Fleet(2, 0, 60, 0), List.of());
 
     Script with(List<Fault> faults) {
         return new Script(seed, lastsMs, proxies, nodes, through, group, memoryMs, rate, keys, skew, rude,
                 warmUp,
-                room, tips, sockets, stay, faults.stream().sorted().toList());
+                room, tips, sockets, stay, fleet, faults.stream().sorted().toList());
     }
 
     /** The same with one figure set, by the word that the text has for it. */
@@ -47,18 +60,18 @@
                 word.equals("rude") ? to : rude, word.equals("warm-up") ? (int) to : warmUp,
                 word.equals("room") ? to : room, word.equals("tips") ? to : tips,
                 word.equals("sockets") ? (int) to : sockets,
-                word.equals("stay") ? to : stay, faults);
+                word.equals("stay") ? to : stay, fleet.with(word, to), faults);
     }
 
     Script mode(String mode) {
         return new Script(seed, lastsMs, proxies, nodes, mode.equals("through"), group, memoryMs, rate, keys,
-                skew, rude, warmUp, room, tips, sockets, stay, faults);
+                skew, rude, warmUp, room, tips, sockets, stay, fleet, faults);
     }
 
     Script group(String group) {
         return new Script(seed, lastsMs, proxies, nodes, through, group, memoryMs, rate, keys, skew, rude,
                 warmUp,
-                room, tips, sockets, stay, faults);
+                room, tips, sockets, stay, fleet, faults);
     }
 
     @Override
@@ -80,6 +93,10 @@
         line(text, "tips", tips, PLAIN.tips, "");
         line(text, "sockets", sockets, PLAIN.sockets, "");
         line(text, "stay", stay, PLAIN.stay, "");
+        line(text, "zones", fleet.zones, PLAIN.fleet.zones, "");
+        line(text, "uneven", fleet.uneven, PLAIN.fleet.uneven, "");
+        line(text, "places", fleet.places, PLAIN.fleet.places, "");
+        line(text, "calls", fleet.calls, PLAIN.fleet.calls, "/s");
         faults.forEach(f -> text.append(f).append('\n'));
         return text.toString();
     }
@@ -131,9 +148,9 @@
         }
         String unit = switch (words[0]) {
             case "lasts", "memory" -> "ms";
-            case "rate", "rude" -> "/s";
-            case "seed", "proxies", "nodes", "keys", "skew", "warm-up", "room", "tips", "sockets", "stay" ->
-                    "";
+            case "rate", "rude", "calls" -> "/s";
+            case "seed", "proxies", "nodes", "keys", "skew", "warm-up", "room", "tips", "sockets", "stay",
+                    "zones", "uneven", "places" -> "";
             default -> throw new IllegalArgumentException("'" + words[0] + "' is no known word");
         };
         if (!words[1].matches("\\d{1,15}(\\.\\d{1,9})?" + unit)) {
@@ -143,7 +160,9 @@
         double value = Double.parseDouble(words[1].substring(0, words[1].length() - unit.length()));
         double most = switch (words[0]) {
             case "lasts" -> 3_600_000;
-            case "proxies" -> 64;
+            case "proxies" -> 250;
+            case "zones" -> 26;
+            case "uneven" -> 4;
             case "nodes" -> 1000;
             case "rate" -> 100_000;
             case "keys" -> 1_000_000;
@@ -152,7 +171,7 @@
             default -> 1e15;
         };
         double least = switch (words[0]) {
-            case "proxies", "nodes", "keys", "memory" -> 1;
+            case "proxies", "nodes", "keys", "memory", "zones", "places" -> 1;
             case "sockets" -> 128;
             case "room", "tips", "rate" -> 0.1;
             default -> 0;
--- a/src/main/java/pathgw/simulation/Seeds.java
+++ b/src/main/java/pathgw/simulation/Seeds.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 
 /** Plays many seeds, each wholly on one thread; what comes out is the same however many threads there are. */
 public final class Seeds {
@@ -42,11 +43,17 @@
      */
     public static Sum play(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
             throws InterruptedException {
-        return play(from, to, jobs, shrink ? 8 : 0, Tamper.NONE, played);
+        return play(from, to, jobs, shrink ? 8 : 0, Tamper.NONE, Draw::script, played);
     }
 
-    static Sum play(long from, long to, int jobs, int shrinks, Tamper tamper, Consumer<long[]> played)
+    /** The same of large fleets, which take some hundred times as long. */
+    public static Sum fleets(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
             throws InterruptedException {
+        return play(from, to, jobs, shrink ? 1 : 0, Tamper.NONE, Draw::fleet, played);
+    }
+
+    static Sum play(long from, long to, int jobs, int shrinks, Tamper tamper, LongFunction<Script> draw,
+            Consumer<long[]> played) throws InterruptedException {
         ExecutorService threads = Executors.newFixedThreadPool(jobs);
         try {
             Deque<Future<Outcome>> ahead = new ArrayDeque<>();
@@ -61,7 +68,7 @@
             while (next <= to || !ahead.isEmpty()) {
                 // However many seeds there are, only so many wait for a thread at a time.
                 while (next <= to && ahead.size() < jobs * AHEAD) {
-                    Script script = Draw.script(next++);
+                    Script script = draw.apply(next++);
                     ahead.add(threads.submit(() -> Play.play(script, tamper, null)));
                 }
                 Outcome o = ahead.poll().get();
@@ -69,7 +76,8 @@
                 virtualMs += o.virtualMs();
                 steps += o.steps();
                 count++;
-                o.counts().forEach((what, n) -> counts.merge(what, n, Long::sum));
+                o.counts().forEach((what, n) -> counts.merge(what, n,
+                        what.endsWith(Referee.MOST) ? Math::max : Long::sum));
                 if (o.breach() != null) {
                     failed.add(o);
                 } else {
@@ -103,7 +111,7 @@
     }
 
     /** The script that a seed draws. */
-    public static String script(long seed) {
-        return Draw.script(seed).toString();
+    public static String script(long seed, boolean fleet) {
+        return (fleet ? Draw.fleet(seed) : Draw.script(seed)).toString();
     }
 }
--- a/src/main/java/pathgw/standin/Clients.java
+++ b/src/main/java/pathgw/standin/Clients.java
@@ -57,11 +57,15 @@
     private final List<Deque<Connection>> kept = new ArrayList<>();
     private final boolean[] up;
     private final Duration[] noticed;
+    private final double[] parts;
     private int next;
     private boolean stopped;
 
-    /** @param keys how many, asked for by Zipf's law with exponent {@code skew} */
-    public Clients(Clock clock, Random chance, Front front, ClientWitness witness, int proxies,
+    /**
+     * @param uneven how unlike the proxies' traffic is: exponent of Zipf's law, 0 for turn by turn
+     * @param keys   how many, asked for by Zipf's law with exponent {@code skew}
+     */
+    public Clients(Clock clock, Random chance, Front front, ClientWitness witness, int proxies, double uneven,
             List<Offering> offerings, List<String> customers, int keys, double skew) {
         this.clock = clock;
         this.chance = chance;
@@ -75,6 +79,12 @@
             sum += 1 / Math.sqrt(Math.pow(i + 1, 2 * skew));
             this.keys[i] = sum;
         }
+        parts = uneven == 0 ? null : new double[proxies];
+        double all = 0;
+        for (int i = 0; parts != null && i < proxies; i++) {
+            all += 1 / Math.sqrt(Math.pow(i + 1, 2 * uneven));
+            parts[i] = all;
+        }
         up = new boolean[proxies];
         noticed = new Duration[proxies];
         for (int i = 0; i < proxies; i++) {
@@ -146,6 +156,13 @@
 
     /** The front's turn; a proxy that it knows to be dead is passed over. */
     private int deal() {
+        if (parts != null) {
+            int found = Arrays.binarySearch(parts, chance.nextDouble() * parts[parts.length - 1]);
+            next = found < 0 ? -found - 1 : found;
+            if (up[next]) {
+                return next;
+            }
+        }
         for (int i = 0; i < up.length; i++) {
             next = (next + 1) % up.length;
             if (up[next]) {
--- a/src/main/java/pathgw/standin/NodeList.java
+++ b/src/main/java/pathgw/standin/NodeList.java
@@ -40,6 +40,7 @@
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(2);
     /** So many changes are kept; who lags further behind gets the whole list. */
     private static final int CHANGES = 16;
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(3);
 
     private final Clock clock;
     private final Random chance;
@@ -51,6 +52,8 @@
     private boolean down;
     private double refuses;
     private Duration late = Duration.ZERO;
+    private double calls;
+    private Duration busyUntil = Duration.ZERO;
 
     public NodeList(Clock clock, Random chance, Witness witness) {
         this.clock = clock;
@@ -78,6 +81,12 @@
         }
     }
 
+    /** Whether it still has a node so; one that is gone it does not name. */
+    public boolean says(String host, String health) {
+        Entry now = entries.get(host);
+        return health.equals(now == null ? "gone" : now.health());
+    }
+
     public long seq() {
         return seq;
     }
@@ -99,6 +108,25 @@
         refuses = share;
     }
 
+    /** @param calls a second that are worked off, in turn; 0 for any number */
+    public void takes(double calls) {
+        this.calls = calls;
+    }
+
+    /** When a call has its turn; null if it would wait too long. */
+    private Duration turn() {
+        if (calls == 0) {
+            return Duration.ZERO;
+        }
+        Duration begins = busyUntil.compareTo(clock.now()) < 0 ? clock.now() : busyUntil;
+        Duration waits = begins.minus(clock.now());
+        if (waits.compareTo(LONGEST_WAIT) > 0) {
+            return null;
+        }
+        busyUntil = begins.plusNanos((long) (1e9 / calls));
+        return waits;
+    }
+
     public void down(boolean down) {
         this.down = down;
         if (down) {
@@ -152,7 +180,12 @@
             } else if (line.isEmpty() && path != null) {
                 String asked = path;
                 path = null;
-                clock.in(lateness().plusMillis(1), () -> answer(asked));
+                Duration turn = turn();
+                if (turn == null) {
+                    later();
+                } else {
+                    clock.in(lateness().plusMillis(1).plus(turn), () -> answer(asked));
+                }
             }
         }
 
@@ -165,7 +198,7 @@
                     side.reset();
                     over();
                 } else {
-                    side.write(Buffer.buffer("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n"));
+                    later();
                 }
                 return;
             }
@@ -190,6 +223,10 @@
             keepAlive();
         }
 
+        private void later() {
+            side.write(Buffer.buffer("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n"));
+        }
+
         private void keepAlive() {
             clock.in(KEEP_ALIVE, () -> {
                 if (talks.contains(this)) {
--- a/src/test/java/pathgw/simulation/SimulationTest.java
+++ b/src/test/java/pathgw/simulation/SimulationTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -17,16 +18,34 @@
 /** The unchanged proxy under troubles from seeds, and under every script that once broke a rule. */
 class SimulationTest {
     private static final int SEEDS = 300;
+    private static final int FLEETS = 12;
 
     @Test
     void theSeedsOfTheBuildKeepEveryRule() throws InterruptedException {
         Seeds.Sum sum = Seeds.play(0, SEEDS - 1, 4, true, played -> { });
         assertEquals(List.of(), sum.failed());
-        for (Fault.Kind kind : Fault.Kind.values()) {
+        for (Fault.Kind kind : Arrays.asList(Fault.Kind.values()).subList(0, Fault.Kind.ANY_FLEET)) {
             assertTrue(sum.counts().containsKey("fault " + kind.word()), kind + " never came");
         }
     }
 
+    /** Some 80 proxies and 140 nodes each, of which much goes at once; the sums are over all proxies. */
+    @Test
+    void largeFleetsKeepEveryRuleAndDoNotAddUpToAHerd() throws InterruptedException {
+        Seeds.Sum sum = Seeds.fleets(0, FLEETS - 1, 4, false, played -> { });
+        assertEquals(List.of(), sum.failed());
+        for (String kind : List.of("restart", "zone-lost", "zone-silent", "deploy", "greed")) {
+            assertTrue(sum.counts().containsKey("fault " + kind), kind + " never came");
+        }
+        long proxies = 0;
+        for (long seed = 0; seed < FLEETS; seed++) {
+            proxies += Draw.fleet(seed).proxies();
+        }
+        long calls = sum.counts().get("fleet list calls");
+        assertTrue(calls <= 5 * proxies, calls + " calls of " + proxies + " proxies");
+        assertTrue(sum.counts().get("fleet hand-offs to cold nodes") > 0);
+    }
+
     @Test
     void scriptsThatOnceBrokeARuleKeepItNow() throws IOException {
         List<Path> scripts;
@@ -69,7 +88,7 @@
     void aScriptThatCannotBeReadIsNamedByItsLine() {
         for (String[] bad : new String[][] {
             {"seed 1\nrate 40", "line 2: 'rate' needs a number with its unit, /s"},
-            {"proxies 0", "line 1: 'proxies' is not between 1 and 64"},
+            {"proxies 0", "line 1: 'proxies' is not between 1 and 250"},
             {"colour red", "line 1: 'colour' is no known word"},
             {"mode sideways", "line 1: 'sideways' is none of aside, through"},
             {"at 1ms slow node 3", "line 1: 'slow' needs 'by X'"},
