--- a/src/main/java/pathgw/simulation/Draw.java
+++ b/src/main/java/pathgw/simulation/Draw.java
@@ -65,17 +65,19 @@
         int zones = 2 + chance.nextInt(4);
         Script shape = new Script(0, LASTS, proxies, nodes, false, "all", 200, proxies * (3 + chance.nextInt(6)),
                 10 * nodes, 0.7 + chance.nextInt(3) / 10.0, 0, 0, 2 + chance.nextInt(3) / 2.0, 3, 512, 0,
-                new Fleet(zones, 0.3 + chance.nextInt(6) / 10.0, 40, proxies / 6.0), List.of());
+                new Fleet(zones, 0.3 + chance.nextInt(6) / 10.0, 16 + chance.nextInt(25), proxies / 6.0),
+                List.of());
         long at = 1000 + chance.nextInt(2000);
         List<Fault> faults = new ArrayList<>();
         // Each of these alone would be the hour that everybody talks about; here two meet, and smaller ones.
         for (int i = 0; i < 2; i++) {
             long lasts = 3000 + chance.nextInt(4000);
-            faults.add(switch (chance.nextInt(5)) {
-                case 0 -> new Fault(at, 500 + chance.nextInt(2500), Kind.RESTART, -1, 0.7);
+            faults.add(switch (chance.nextInt(6)) {
+                case 0 -> herd(at, faults);
                 case 1 -> new Fault(at, 5000, Kind.ZONE_LOST, -1, chance.nextInt(zones));
                 case 2 -> new Fault(at, 5000, Kind.ZONE_SILENT, -1, chance.nextInt(zones));
                 case 3 -> new Fault(at, 7000, Kind.DEPLOY, -1, 0.6);
+                case 4 -> new Fault(at + 1000, 0, Kind.LIST_SILENT, -1, 0.4);
                 default -> new Fault(at, lasts, Kind.GREED, -1, 3 + chance.nextInt(5));
             });
             at += chance.nextInt(2000);
@@ -86,6 +88,15 @@
         return shape.with(faults);
     }
 
+    /** Killed together in the middle of a release, half of the times with the list down into its start. */
+    private Fault herd(long at, List<Fault> faults) {
+        if (chance.nextBoolean()) {
+            faults.add(new Fault(at, 5000, Kind.LIST_DOWN, -1, 0));
+            faults.add(new Fault(at + 3000, 7000, Kind.DEPLOY, -1, 0.5));
+        }
+        return new Fault(at + 3500, 500 + chance.nextInt(2500), Kind.RESTART, -1, 0.7);
+    }
+
     private Fault fault(long at, Script shape) {
         Kind kind = Kind.values()[chance.nextInt(Kind.ANY_FLEET)];
         int target = switch (kind.on) {
--- a/src/main/java/pathgw/simulation/Fault.java
+++ b/src/main/java/pathgw/simulation/Fault.java
@@ -86,7 +86,9 @@
         /** All nodes of the zone of this number die at once and come back cold. */
         ZONE_LOST(On.WORLD, true),
         /** The machines of the zone of this number are cut off. */
-        ZONE_SILENT(On.WORLD, true);
+        ZONE_SILENT(On.WORLD, true),
+        /** So great a share of the open watches falls silent without an end. */
+        LIST_SILENT(On.WORLD, true);
 
         /** So many come first that befall any fleet; the rest are drawn for large ones alone. */
         static final int ANY_FLEET = LEAVE.ordinal() + 1;
--- a/src/main/java/pathgw/simulation/Play.java
+++ b/src/main/java/pathgw/simulation/Play.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -57,6 +58,8 @@
     private final Process listProcess;
     private final Process originProcess;
     private final NodeList list;
+    /** Every change of the list by its version. */
+    private final TreeMap<Long, NodeList.Entry> changed = new TreeMap<>();
     private final Origin origin;
     private final Mischief originMischief = new Mischief();
     private final Clients clients;
@@ -392,6 +395,7 @@
     private void listed(Node n, String health) {
         list.change(n.entry(health));
         long version = list.seq();
+        changed.put(version, n.entry(health));
         long since = events.now();
         if (!health.equals("ready")) {
             // What has changed back by then nobody can be told any more.
@@ -597,6 +601,7 @@
             case LIST_DOWN -> troubled(f, () -> list.down(true), () -> list.down(false));
             case LIST_REFUSES -> troubled(f, () -> list.refuses(f.by()), () -> list.refuses(0));
             case LIST_ENDS -> list.endWatches();
+            case LIST_SILENT -> silent(f.by());
             case PEERS_LOSE -> during(f, () -> net.datagrams(f.by(), 0), () -> net.datagrams(0, 0));
             case PEERS_LATE -> during(f, () -> net.datagrams(0, (long) (f.by() * 1e6)), () ->
                     net.datagrams(0, 0));
@@ -623,6 +628,20 @@
         }
     }
 
+    /** What a silent watch misses counts as told so long after it fell silent, however late it changed. */
+    private void silent(double share) {
+        long since = events.now();
+        long version = list.seq();
+        list.silenceWatches(share);
+        events.in(TOLD_WITHIN.toNanos(), null, () -> {
+            List<NodeList.Entry> missed = new ArrayList<>(changed.tailMap(version + 1).values());
+            missed.removeIf(e -> !list.says(e.host(), e.health()));
+            gates.stream().filter(g -> g.bornAt < since && listTroubledUntil < since && !g.process.dead())
+                    .forEach(g -> missed.forEach(e ->
+                            referee.countsAsTold(g.number, e.host(), e.health(), list.seq())));
+        });
+    }
+
     private void restart(Gate g, long againMs) {
         kill(g);
         events.in(Math.max(1, againMs) * 1_000_000, null, () -> begin(g));
--- a/src/main/java/pathgw/standin/NodeList.java
+++ b/src/main/java/pathgw/standin/NodeList.java
@@ -134,6 +134,11 @@
         }
     }
 
+    /** Open watches stay open and say nothing more; new ones are served. */
+    public void silenceWatches(double share) {
+        talks.forEach(talk -> talk.silent |= talk.follows && chance.nextDouble() < share);
+    }
+
     public void endWatches() {
         List.copyOf(talks).forEach(talk -> {
             talk.side.close();
@@ -161,6 +166,7 @@
         private String path;
         private long has = -1;
         private boolean follows;
+        private boolean silent;
 
         private Conversation(String from, Side side) {
             this.from = from;
@@ -229,7 +235,7 @@
 
         private void keepAlive() {
             clock.in(KEEP_ALIVE, () -> {
-                if (talks.contains(this)) {
+                if (talks.contains(this) && !silent) {
                     chunk("\n");
                     keepAlive();
                 }
@@ -237,7 +243,7 @@
         }
 
         private void catchUp(long upTo) {
-            if (!talks.contains(this) || has >= upTo) {
+            if (!talks.contains(this) || silent || has >= upTo) {
                 return;
             }
             boolean known = has >= 0 && has < seq
--- a/src/test/java/pathgw/simulation/PlantedTest.java
+++ b/src/test/java/pathgw/simulation/PlantedTest.java
@@ -7,9 +7,12 @@
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import org.junit.jupiter.api.Test;
 import pathgw.config.Address;
 import pathgw.net.Outside;
@@ -55,10 +58,14 @@
     }
 
     private static void found(int rule, String kind, Tamper tamper, long from) {
+        found(rule, kind, tamper, from, Draw::script);
+    }
+
+    private static void found(int rule, String kind, Tamper tamper, long from, LongFunction<Script> draw) {
         Outcome failed = null;
         long seed = from;
         while (failed == null && seed < MOST_SEEDS) {
-            Outcome o = Play.play(Draw.script(seed++), tamper, null);
+            Outcome o = Play.play(draw.apply(seed++), tamper, null);
             failed = o.breach() == null ? null : o;
         }
         assertNotNull(failed, "not found in " + MOST_SEEDS + " seeds");
@@ -84,6 +91,32 @@
         }, Tampered::toList));
     }
 
+    /** Empty lines of its own making keep a proxy from seeing that its watch has fallen silent. */
+    @Test
+    void aSilentWatchTakenForAnOpenOne() {
+        Tamper deaf = dialled((world, pipe) -> new Tampered.Through(pipe) {
+            @Override
+            public void reads(Consumer<Buffer> came) {
+                honest.reads(came);
+                again(() -> came.accept(Buffer.buffer("1\r\n\n\r\n")));
+            }
+
+            private void again(Runnable line) {
+                world.after(Duration.ofSeconds(2), () -> {
+                    line.run();
+                    again(line);
+                });
+            }
+        }, Tampered::toList);
+        found(3, "drain", deaf, 0, seed -> {
+            Script drawn = Draw.script(seed);
+            List<Fault> faults = new ArrayList<>(drawn.faults());
+            faults.add(new Fault(2000, 0, Fault.Kind.LIST_SILENT, -1, 1));
+            faults.add(new Fault(4000, 0, Fault.Kind.DRAINS, (int) seed, 0));
+            return drawn.with(faults);
+        });
+    }
+
     @Test
     void aHandOffToAGoneNode() {
         found(3, "drain", dialled((world, pipe) -> new Tampered.Through(pipe) {
--- a/src/test/java/pathgw/simulation/SimulationTest.java
+++ b/src/test/java/pathgw/simulation/SimulationTest.java
@@ -34,7 +34,8 @@
     void largeFleetsKeepEveryRuleAndDoNotAddUpToAHerd() throws InterruptedException {
         Seeds.Sum sum = Seeds.fleets(0, FLEETS - 1, 4, false, played -> { });
         assertEquals(List.of(), sum.failed());
-        for (String kind : List.of("restart", "zone-lost", "zone-silent", "deploy", "greed")) {
+        for (String kind : List.of("restart", "zone-lost", "zone-silent", "deploy", "greed",
+                "list-silent", "list-down")) {
             assertTrue(sum.counts().containsKey("fault " + kind), kind + " never came");
         }
         long proxies = 0;
