--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -26,10 +26,14 @@
 direct=$((memory / 10))
 [ "$direct" -ge 8 ] || direct=8
 export MALLOC_ARENA_MAX=1
+# While a proxy starts again its clients go unserved. The archive is mapped where it was made for, since moving it means
+# to mend every address in it; the library that speaks epoll lies there unpacked; nobody looks for loggers we lack.
 exec java -Xms${heap}m -Xmx${heap}m -Xmn$((heap * 2 / 5))m -XX:MaxDirectMemorySize=${direct}m -XX:+AlwaysPreTouch \
-    -XX:+UseSerialGC -XX:SharedArchiveFile=target/pathgw.jsa -Xlog:cds=off,cds+dynamic=off -XX:-UsePerfData \
+    -XX:+UseSerialGC -XX:+UnlockDiagnosticVMOptions -XX:ArchiveRelocationMode=0 \
+    -XX:SharedArchiveFile=target/pathgw.jsa -Xlog:cds=off,cds+dynamic=off -XX:-UsePerfData \
     -XX:ActiveProcessorCount=1 -XX:TieredStopAtLevel=1 -XX:ThreadPriorityPolicy=1 -XX:CompilerThreadPriority=10 \
     -Xss512k -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m \
+    -Djava.library.path=target/native -Dvertx.logger-delegate-factory-class-name=io.vertx.core.logging.JULLogDelegateFactory \
     -Djava.util.logging.manager=pathgw.net.LastingLogs -Djava.util.logging.config.file=deploy/logging.properties \
     -Dvertx.disableDnsResolver=true -Dio.netty.native.workdir="${TMPDIR:-/tmp}" -Dio.netty.jfr.enabled=false -Dio.netty.allocator.numDirectArenas=1 \
     -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.maxOrder=3 -jar target/pathgw.jar serve
