--- a/src/main/java/pathgw/simulation/Draw.java
+++ b/src/main/java/pathgw/simulation/Draw.java
@@ -63,7 +63,8 @@
         int proxies = 60 + chance.nextInt(41);
         int nodes = 80 + chance.nextInt(121);
         int zones = 2 + chance.nextInt(4);
-        Script shape = new Script(0, LASTS, proxies, nodes, false, "all", 200, proxies * (3 + chance.nextInt(6)),
+        Script shape = new Script(0, LASTS, proxies, nodes, false, "all", 200,
+                proxies * (3 + chance.nextInt(6)),
                 10 * nodes, 0.7 + chance.nextInt(3) / 10.0, 0, 0, 2 + chance.nextInt(3) / 2.0, 3, 512, 0,
                 new Fleet(zones, 0.3 + chance.nextInt(6) / 10.0, 16 + chance.nextInt(25), proxies / 6.0),
                 List.of());
--- a/src/main/java/pathgw/simulation/Play.java
+++ b/src/main/java/pathgw/simulation/Play.java
@@ -145,7 +145,8 @@
                 slots, Duration.ofMillis(25), 64, 200, NODE_IDLE, 2.5, FALL_FOR, Duration.ofSeconds(3),
                 Duration.ofMillis(script.memoryMs())), new Copies());
         double service = Math.max(0.004, Math.min(0.06, script.nodes() / (script.room() * script.rate())));
-        nodeFigures = new CacheNode.Figures(1, Duration.ofNanos((long) (service * 1e9)), 24, script.fleet().places(), NODE_IDLE,
+        nodeFigures = new CacheNode.Figures(1, Duration.ofNanos((long) (service * 1e9)), 24,
+                script.fleet().places(), NODE_IDLE,
                 COLD_FROM,
                 COLD_FOR, script.tips(), FALL_FOR, 4096, script.through() ? origin : null);
         clients = new Clients(clientsProcess, chance("clients"), this::open, referee, script.proxies(),
@@ -400,7 +401,8 @@
         if (!health.equals("ready")) {
             // What has changed back by then nobody can be told any more.
             events.in(TOLD_WITHIN.toNanos(), null, () -> gates.forEach(g -> {
-                if (list.says(n.host, health) && g.bornAt < since && listTroubledUntil < since && !g.process.dead()) {
+                if (list.says(n.host, health) && g.bornAt < since && listTroubledUntil < since
+                        && !g.process.dead()) {
                     referee.countsAsTold(g.number, n.host, health, version);
                 }
             }));
--- a/src/test/java/pathgw/HouseTest.java
+++ b/src/test/java/pathgw/HouseTest.java
@@ -42,7 +42,7 @@
                 .resideInAnyPackage("pathgw.net..", "pathgw.simulation..", "pathgw.command..").check(HOUSE);
     }
 
-    /** It loads time zones and locales, which a proxy that starts again does while its clients go unserved. */
+    /** It loads time zones and locales, which a proxy does while its clients go unserved. */
     @Test
     void nothingLoadsTheMapperOfTheJsonLibrary() {
         noClasses().should().dependOnClassesThat()
