No hand-off to a cache node once the list is no longer proven by STANDING's clock

Ruled out: the loop standing still (one line of 50 ms in the fleet), late connections (75 ms). Lines at fault: Discovery.SILENCE 2.5 s, then Decide.listFailed 0.5 to 1 s, then 1 to 2 s after each call that failed, against a clock of 6 s that nothing kept: a proxy that could not be told went on.

Now net/Proof reckons from what was heard (the last line of an open watch plus 6 s; the time for asking where a watch has ended; from the start, and at once, where lists are pushed), Decide.mayHandOff and the bound for writing keep it, reads go to the origin as its gate admits and the rest is told at once. A silent watch is noticed after 2.25 s and asked for anew within 0.25 s, a failed call again within 1 s once the proof runs short.

--- a/src/main/java/pathgw/simulation/Fault.java
+++ b/src/main/java/pathgw/simulation/Fault.java
@@ -88,7 +88,9 @@
         /** The machines of the zone of this number are cut off. */
         ZONE_SILENT(On.WORLD, true),
         /** So great a share of the open watches falls silent without an end. */
-        LIST_SILENT(On.WORLD, true);
+        LIST_SILENT(On.WORLD, true),
+        /** So great a share of the nodes is listed as draining within a second, and they go on serving. */
+        LIST_DRAINS(On.WORLD, true);
 
         /** So many come first that befall any fleet; the rest are drawn for large ones alone. */
         static final int ANY_FLEET = LEAVE.ordinal() + 1;
--- a/src/main/java/pathgw/standin/NodeList.java
+++ b/src/main/java/pathgw/standin/NodeList.java
@@ -48,6 +48,8 @@
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final List<Change> changes = new ArrayList<>();
     private final Set<Conversation> talks = new LinkedHashSet<>();
+    private final Map<String, Duration> deaf = new LinkedHashMap<>();
+    private final Map<String, Duration> lastCalls = new LinkedHashMap<>();
     private long seq = 1;
     private boolean down;
     private double refuses;
@@ -136,7 +138,30 @@
 
     /** Open watches stay open and say nothing more; new ones are served. */
     public void silenceWatches(double share) {
-        talks.forEach(talk -> talk.silent |= talk.follows && chance.nextDouble() < share);
+        for (Conversation talk : talks) {
+            if (talk.follows && !talk.silent && chance.nextDouble() < share) {
+                talk.silent = true;
+                deaf.put(talk.from, clock.now());
+            }
+        }
+    }
+
+    /**
+     * Since when a proxy's watch has been silent with nothing answered to it since, whether or not it has
+     * asked; null where it hears.
+     */
+    public Duration deafSince(String proxy) {
+        return deaf.get(proxy);
+    }
+
+    /** Whether what changes is written to it, however late. */
+    public boolean watchedBy(String proxy) {
+        return talks.stream().anyMatch(t -> t.follows && !t.silent && t.from.equals(proxy));
+    }
+
+    /** When it last asked, answered or not; null for never. */
+    public Duration lastCall(String proxy) {
+        return lastCalls.get(proxy);
     }
 
     public void endWatches() {
@@ -184,6 +209,7 @@
             if (line.startsWith("GET ")) {
                 path = line.split(" ")[1];
             } else if (line.isEmpty() && path != null) {
+                lastCalls.put(from, clock.now());
                 String asked = path;
                 path = null;
                 Duration turn = turn();
@@ -208,6 +234,7 @@
                 }
                 return;
             }
+            deaf.remove(from);
             if (!asked.contains("follow=1")) {
                 String list = whole();
                 side.write(Buffer.buffer("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n"
--- /dev/null
+++ b/src/test/java/pathgw/net/ProofTest.java
@@ -0,0 +1,73 @@
+package pathgw.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** Until when the node list holds, for each way in which it may cease to be heard. */
+class ProofTest {
+    private static final Duration ASK = at(10);
+
+    private final Proof asked = new Proof(false, ASK);
+    private final Proof pushed = new Proof(true, ASK);
+
+    private static Duration at(long seconds) {
+        return Duration.ofSeconds(seconds);
+    }
+
+    @Test
+    void aSilentWatchHoldsForSixSecondsWhateverFailsMeanwhile() {
+        asked.spoke(at(1));
+        asked.lives(at(3));
+        asked.fellSilent(at(3));
+        asked.asked(at(6));
+        asked.ended(at(7));
+        asked.lives(at(8));
+        assertEquals(at(9), asked.until());
+        asked.spoke(at(12));
+        assertEquals(at(18), asked.until());
+    }
+
+    @Test
+    void aProxyWithNoWatchIsHeldToItsListForTheTimeForAskingFromItsLastCall() {
+        assertEquals(at(10), asked.until(), "from its start on");
+        asked.spoke(at(1));
+        asked.ended(at(2));
+        assertEquals(at(12), asked.until());
+        asked.asked(at(5));
+        assertEquals(at(15), asked.until());
+    }
+
+    @Test
+    void aCallThatFellSilentWhileItWaitedHidesWhatCameAfterItWasMade() {
+        asked.asked(at(1));
+        asked.fellSilent(at(2));
+        assertEquals(at(8), asked.until());
+    }
+
+    @Test
+    void wherePushedAllThatIsThereCountsWithNoWatch() {
+        assertEquals(at(0), pushed.until(), "from its start on");
+        pushed.asked(at(1));
+        assertEquals(at(0), pushed.until());
+        pushed.spoke(at(2));
+        assertEquals(at(8), pushed.until());
+        pushed.ended(at(3));
+        assertEquals(at(3), pushed.until());
+    }
+
+    @Test
+    void theServiceThatWasLeftProvesNothingBeyondTheTimeForTheNewOne() {
+        pushed.spoke(at(1));
+        pushed.moved(at(2));
+        pushed.lives(at(5));
+        assertEquals(at(6), pushed.until());
+        pushed.spoke(at(6));
+        assertEquals(at(12), pushed.until());
+        asked.spoke(at(1));
+        asked.moved(at(2));
+        asked.lives(at(9));
+        assertEquals(at(12), asked.until());
+    }
+}
