--- a/src/main/java/pathgw/simulation/Draw.java
+++ b/src/main/java/pathgw/simulation/Draw.java
@@ -61,8 +61,8 @@
     }
 
     /**
-     * All watches fall silent within the first seconds, a quarter of the nodes begins to leave right after and goes
-     * on serving, and the list service can't tell all proxies before that counts as told.
+     * All watches fall silent within the first seconds, a quarter of the nodes begins to leave right after
+     * and goes on serving, and the list service can't tell all proxies before that counts as told.
      */
     private Script hidden() {
         int proxies = 80 + chance.nextInt(41);
--- /dev/null
+++ b/src/test/java/pathgw/net/SizeTest.java
@@ -0,0 +1,138 @@
+package pathgw.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import pathgw.Bed;
+import pathgw.Decide;
+import pathgw.config.Address;
+import pathgw.config.Config;
+
+/** A thousand proxies before a thousand cache nodes, as one of them sees it. */
+class SizeTest {
+    private static final int MANY = 1024;
+
+    /** The longest that a name on a network may be. */
+    private static String host(int i) {
+        return "s" + i + "-".repeat(252 - Integer.toString(i).length());
+    }
+
+    private static String hosts(String health) {
+        return IntStream.range(0, MANY).mapToObj(i -> "    {\n      \"host\": \"" + host(i) + "\",\n"
+                + "      \"dial\": \"10.1." + i / 250 + "." + i % 250
+                + ":11211\",\n      \"site\": \"here\",\n      \"class\": \"std\",\n"
+                + "      \"block\": 3,\n      \"health\": \"" + health + "\",\n"
+                + "      \"share\": 1.0,\n      \"born_ms\": 0\n    }").collect(Collectors.joining(",\n"));
+    }
+
+    private static String list(int seq, String health) {
+        return "{\n  \"seq\": " + seq + ",\n  \"whole\": true,\n  \"hosts\": [\n" + hosts(health)
+                + "\n  ]\n}\n";
+    }
+
+    private final List<Bed.Socket> dialled = new ArrayList<>();
+    private final List<Address> told = new ArrayList<>();
+    private BiConsumer<Buffer, Address> arrives;
+
+    private Future<Pipe> dial(Address to) {
+        Bed.Socket socket = new Bed.Socket();
+        dialled.add(socket);
+        return Future.succeededFuture(socket);
+    }
+
+    private final class Nowhere implements Outside {
+        @Override
+        public long nanos() {
+            return 0;
+        }
+
+        @Override
+        public long unixMillis() {
+            return 0;
+        }
+
+        @Override
+        public Runnable after(Duration span, Runnable what) {
+            return () -> { };
+        }
+
+        @Override
+        public Future<Pipe> dial(Address to, Duration within) {
+            return SizeTest.this.dial(to);
+        }
+
+        @Override
+        public Future<Integer> listen(Address at, Consumer<Pipe> arrived) {
+            return Future.succeededFuture(1);
+        }
+
+        @Override
+        public BiConsumer<Buffer, Address> datagrams(Address at, BiConsumer<Buffer, Address> heard) {
+            arrives = heard;
+            return (bytes, to) -> told.add(to);
+        }
+    }
+
+    @Test
+    void aThousandPeersAndAThousandNodesAreTakenWhole() {
+        String peers = IntStream.range(0, MANY).mapToObj(i -> "\"10.9." + i / 250 + "." + i % 250 + ":7946\"")
+                .collect(Collectors.joining(","));
+        Config config = Config.read(Bed.config().replaceFirst("\\{", "{\"peer_listen\": \"10.9.0.0:7946\", "
+                + "\"peers_all\": \"10.9.255.1:7946\", \"peers\": [" + peers + "],\n\"known\": "
+                + list(1, "draining") + ",").replace("\"instances\": 1", "\"instances\": " + MANY)
+                .getBytes(StandardCharsets.UTF_8));
+        assertEquals(MANY, config.peers().size());
+        assertEquals(MANY, config.settings().proxies());
+        Agenda agenda = new Agenda(() -> 0, 1_000_000, (span, what) -> () -> { });
+        Desk desk = new Desk(agenda, new Decide(config.settings(), 1));
+        Links links = new Links(this::dial, this::dial, agenda, config, 400);
+        Discovery discovery = new Discovery(this::dial, agenda, desk, links, config, new Keepsake(),
+                what -> { });
+        Peers others = new Peers(new Nowhere(), desk, config);
+        desk.reaches(discovery::watch, discovery::fetch, others::tell, links::closeIdle);
+        discovery.take(config.known().get(), true);
+        assertEquals(MANY, links.members().size());
+
+        String whole = list(2, "ready");
+        assertTrue(whole.length() > 400_000, whole.length() + " bytes");
+        // Bytes come as the network cuts them.
+        String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(whole.length()) + "\r\n" + whole + "\r\n";
+        for (int at = 0; at < answer.length(); at += 16_384) {
+            dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
+        }
+        Life life = new Life(agenda, desk, links, config.answerSlack(), Watcher.NONE);
+        Complaints complaints = new Complaints(System.getLogger("test"), agenda);
+        for (int i = 0; i < 200; i++) {
+            Bed.Socket asks = new Bed.Socket();
+            new Client(asks, config, agenda, life, complaints, c -> { });
+            asks.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
+        }
+        long nodes = dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
+        assertTrue(nodes > 150, nodes + " nodes of a thousand have 200 keys");
+
+        long first = Command.hash(host(0));
+        String[] doubtful = new String[2];
+        Buffer failed = Buffer.buffer().appendLong(first).appendByte((byte) 0);
+        for (int i = 0; i < 8; i++) {
+            arrives.accept(failed, new Address("10.8.0.1", 7946));
+        }
+        desk.tell(module -> doubtful[0] = "" + module.learnt(first).doubtful());
+        for (int i = 0; i < 8; i++) {
+            arrives.accept(failed, new Address("10.9.4.23", 7946));
+        }
+        desk.tell(module -> doubtful[1] = "" + module.learnt(first).doubtful());
+        assertEquals(List.of("false", "true"), List.of(doubtful), "the last of the peers, and no stranger");
+    }
+}
