--- a/src/test/java/pathgw/simulation/PlantedTest.java
+++ b/src/test/java/pathgw/simulation/PlantedTest.java
@@ -117,6 +117,22 @@
         });
     }
 
+    /** All watches silent, and a service short of turns: whom it sends away must not go on as if told. */
+    @Test
+    void beingTurnedAwayTakenForBeingTold() {
+        Tamper believes = dialled((world, pipe) -> new Tampered.Through(pipe) {
+            @Override
+            public void reads(Consumer<Buffer> came) {
+                String nothing = "{\"seq\":0,\"whole\":false,\"hosts\":[]}\n";
+                honest.reads(bytes -> came.accept(!bytes.toString().startsWith("HTTP/1.1 503") ? bytes
+                        : Buffer.buffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + Integer.toHexString(nothing.length()) + "\r\n" + nothing + "\r\n")));
+            }
+        }, Tampered::toList);
+        found(3, "drain", believes, 1, seed -> Script.read("seed " + seed
+                + "\nproxies 20\nnodes 8\nrate 100/s\ncalls 2/s\nlasts 16000ms\nat 9000ms list-silent by 1\nat 9600ms list-drains by 0.25"));
+    }
+
     @Test
     void aHandOffToAGoneNode() {
         found(3, "drain", dialled((world, pipe) -> new Tampered.Through(pipe) {
