--- a/src/main/java/pathgw/simulation/ForwardingWitness.java
+++ b/src/main/java/pathgw/simulation/ForwardingWitness.java
@@ -32,6 +32,11 @@
         to.made(place, request, answer);
     }
 
+    @Override
+    public void pressed(double part) {
+        to.pressed(part);
+    }
+
     @Override
     public void pushedOver(String place, List<Arrival> work) {
         to.pushedOver(place, work);
--- a/src/main/java/pathgw/simulation/Referee.java
+++ b/src/main/java/pathgw/simulation/Referee.java
@@ -54,7 +54,7 @@
     private static final long RUDE_WITHIN = 3_000_000_000L;
 
     /** Marks what is no sum. */
-    static final String MOST = ", most in a second";
+    static final String MOST = ", most";
 
     private static final class HandOff {
         final String place;
@@ -131,7 +131,7 @@
         long[] of = seconds.computeIfAbsent(what, first -> new long[2]);
         of[1] = of[0] == second ? of[1] + 1 : 1;
         of[0] = second;
-        counts.merge("fleet " + what + MOST, of[1], Math::max);
+        counts.merge("fleet " + what + MOST + " in a second", of[1], Math::max);
     }
 
     /** A proxy has opened a connection. */
@@ -234,6 +234,10 @@
             return;
         }
         Told standing = told.get(proxy).get(place);
+        if (standing != null && !standing.health.equals("ready")) {
+            counts.merge("rule 3, ms after it was told of leaving that a node got something new" + MOST,
+                    (first - standing.since) / 1_000_000, Math::max);
+        }
         if (standing != null && !standing.health.equals("ready")
                 && first > standing.since + figures.drainGrace + ON_SOCKETS) {
             broken(3, "drain", "p" + proxy + " hands " + request.id() + " to " + place + " "
@@ -351,6 +355,12 @@
         }
     }
 
+    @Override
+    public void pressed(double part) {
+        counts.merge("rule 4, percent of what pushes a cold node over" + MOST, (long) (part * 100),
+                Math::max);
+    }
+
     @Override
     public void pushedOver(String place, List<Arrival> work) {
         long fromTold = work.stream().filter(a -> told.get(number(a.from())).containsKey(place)).count();
--- a/src/main/java/pathgw/simulation/Seeds.java
+++ b/src/main/java/pathgw/simulation/Seeds.java
@@ -77,7 +77,7 @@
                 steps += o.steps();
                 count++;
                 o.counts().forEach((what, n) -> counts.merge(what, n,
-                        what.endsWith(Referee.MOST) ? Math::max : Long::sum));
+                        what.contains(Referee.MOST) ? Math::max : Long::sum));
                 if (o.breach() != null) {
                     failed.add(o);
                 } else {
--- a/src/main/java/pathgw/standin/CacheNode.java
+++ b/src/main/java/pathgw/standin/CacheNode.java
@@ -98,6 +98,7 @@
         if (cold()) {
             pressure.arrived(clock.now(), reply.from(), request.id());
             double capacity = figures.slots() * 1e9 / figures.service().toNanos() * warmth();
+            witness.pressed(pressure.part(figures.tipMultiple() * capacity));
             if (pressure.over(figures.tipMultiple() * capacity)) {
                 witness.pushedOver(name, pressure.work());
                 fallsOver.run();
--- a/src/main/java/pathgw/standin/Pressure.java
+++ b/src/main/java/pathgw/standin/Pressure.java
@@ -23,8 +23,13 @@
 
     /** Whether it is over what is borne in the window, with some slack for chance. */
     boolean over(double bornePerSecond) {
+        return part(bornePerSecond) > 1;
+    }
+
+    /** How much of what is borne has come, with the same slack; over 1 it is too much. */
+    double part(double bornePerSecond) {
         double borne = bornePerSecond * window.toNanos() / 1e9;
-        return work.size() > borne + 3 * Math.sqrt(borne) + 4;
+        return work.size() / (borne + 3 * Math.sqrt(borne) + 4);
     }
 
     List<Witness.Arrival> work() {
--- a/src/main/java/pathgw/standin/Witness.java
+++ b/src/main/java/pathgw/standin/Witness.java
@@ -23,6 +23,9 @@
     /** An answer that may be served for this access and no other. @param answer a value or a receipt */
     void made(String place, Request request, String answer);
 
+    /** A cold node took an access. @param part of what pushes it over has come by now */
+    void pressed(double part);
+
     /** A cold node fell over under what arrived within the window. */
     void pushedOver(String place, List<Arrival> work);
 
