--- a/src/test/java/pathgw/simulation/PlantedTest.java
+++ b/src/test/java/pathgw/simulation/PlantedTest.java
@@ -130,7 +130,8 @@
             }
         }, Tampered::toList);
         found(3, "drain", believes, 1, seed -> Script.read("seed " + seed
-                + "\nproxies 20\nnodes 8\nrate 100/s\ncalls 2/s\nlasts 16000ms\nat 9000ms list-silent by 1\nat 9600ms list-drains by 0.25"));
+                + "\nproxies 20\nnodes 8\nrate 100/s\ncalls 2/s\nlasts 16000ms\n"
+                + "at 9000ms list-silent by 1\nat 9600ms list-drains by 0.25"));
     }
 
     @Test
