--- a/src/test/java/pathgw/net/SizeTest.java
+++ b/src/test/java/pathgw/net/SizeTest.java
@@ -7,10 +7,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -28,12 +25,14 @@
         return "s" + i + "-".repeat(252 - Integer.toString(i).length());
     }
 
+    /** Deep enough that a list is longer than 1 MiB, which once was the bound. */
+    private static final String NEXT = ",\n" + " ".repeat(100);
+
     private static String hosts(String health) {
-        return IntStream.range(0, MANY).mapToObj(i -> "    {\n      \"host\": \"" + host(i) + "\",\n"
-                + "      \"dial\": \"10.1." + i / 250 + "." + i % 250
-                + ":11211\",\n      \"site\": \"here\",\n      \"class\": \"std\",\n"
-                + "      \"block\": 3,\n      \"health\": \"" + health + "\",\n"
-                + "      \"share\": 1.0,\n      \"born_ms\": 0\n    }").collect(Collectors.joining(",\n"));
+        return IntStream.range(0, MANY).mapToObj(i -> String.join(NEXT, "{\"host\": \"" + host(i) + "\"",
+                "\"dial\": \"10.1." + i / 250 + "." + i % 250 + ":11211\"", "\"site\": \"here\"",
+                "\"class\": \"std\"", "\"block\": 3", "\"health\": \"" + health + "\"", "\"share\": 1.0",
+                "\"born_ms\": 0}")).collect(Collectors.joining(",\n"));
     }
 
     private static String list(int seq, String health) {
@@ -41,47 +40,10 @@
                 + "\n  ]\n}\n";
     }
 
-    private final List<Bed.Socket> dialled = new ArrayList<>();
-    private final List<Address> told = new ArrayList<>();
-    private BiConsumer<Buffer, Address> arrives;
+    private final HeldOutside outside = new HeldOutside();
 
     private Future<Pipe> dial(Address to) {
-        Bed.Socket socket = new Bed.Socket();
-        dialled.add(socket);
-        return Future.succeededFuture(socket);
-    }
-
-    private final class Nowhere implements Outside {
-        @Override
-        public long nanos() {
-            return 0;
-        }
-
-        @Override
-        public long unixMillis() {
-            return 0;
-        }
-
-        @Override
-        public Runnable after(Duration span, Runnable what) {
-            return () -> { };
-        }
-
-        @Override
-        public Future<Pipe> dial(Address to, Duration within) {
-            return SizeTest.this.dial(to);
-        }
-
-        @Override
-        public Future<Integer> listen(Address at, Consumer<Pipe> arrived) {
-            return Future.succeededFuture(1);
-        }
-
-        @Override
-        public BiConsumer<Buffer, Address> datagrams(Address at, BiConsumer<Buffer, Address> heard) {
-            arrives = heard;
-            return (bytes, to) -> told.add(to);
-        }
+        return outside.dial(to, Duration.ZERO);
     }
 
     @Test
@@ -94,23 +56,23 @@
                 .getBytes(StandardCharsets.UTF_8));
         assertEquals(MANY, config.peers().size());
         assertEquals(MANY, config.settings().proxies());
-        Agenda agenda = new Agenda(() -> 0, 1_000_000, (span, what) -> () -> { });
+        Agenda agenda = new Agenda(outside::nanos, outside.unixMillis(), outside::after);
         Desk desk = new Desk(agenda, new Decide(config.settings(), 1));
         Links links = new Links(this::dial, this::dial, agenda, config, 400);
         Discovery discovery = new Discovery(this::dial, agenda, desk, links, config, new Keepsake(),
                 what -> { });
-        Peers others = new Peers(new Nowhere(), desk, config);
+        Peers others = new Peers(outside, desk, config);
         desk.reaches(discovery::watch, discovery::fetch, others::tell, links::closeIdle);
         discovery.take(config.known().get(), true);
         assertEquals(MANY, links.members().size());
 
         String whole = list(2, "ready");
-        assertTrue(whole.length() > 400_000, whole.length() + " bytes");
+        assertTrue(whole.length() > 1 << 20, whole.length() + " bytes");
         // Bytes come as the network cuts them.
         String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 + Integer.toHexString(whole.length()) + "\r\n" + whole + "\r\n";
         for (int at = 0; at < answer.length(); at += 16_384) {
-            dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
+            outside.dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
         }
         Life life = new Life(agenda, desk, links, config.answerSlack(), Watcher.NONE);
         Complaints complaints = new Complaints(System.getLogger("test"), agenda);
@@ -119,18 +81,18 @@
             new Client(asks, config, agenda, life, complaints, c -> { });
             asks.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
         }
-        long nodes = dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
+        long nodes = outside.dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
         assertTrue(nodes > 150, nodes + " nodes of a thousand have 200 keys");
 
         long first = Command.hash(host(0));
         String[] doubtful = new String[2];
         Buffer failed = Buffer.buffer().appendLong(first).appendByte((byte) 0);
         for (int i = 0; i < 8; i++) {
-            arrives.accept(failed, new Address("10.8.0.1", 7946));
+            outside.heard.accept(failed, new Address("10.8.0.1", 7946));
         }
         desk.tell(module -> doubtful[0] = "" + module.learnt(first).doubtful());
         for (int i = 0; i < 8; i++) {
-            arrives.accept(failed, new Address("10.9.4.23", 7946));
+            outside.heard.accept(failed, new Address("10.9.4.23", 7946));
         }
         desk.tell(module -> doubtful[1] = "" + module.learnt(first).doubtful());
         assertEquals(List.of("false", "true"), List.of(doubtful), "the last of the peers, and no stranger");
--- /dev/null
+++ b/src/test/java/pathgw/net/StopTest.java
@@ -0,0 +1,28 @@
+package pathgw.net;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import pathgw.Bed;
+import pathgw.config.Config;
+
+/** A proxy that has been told to end. */
+class StopTest {
+    private final HeldOutside outside = new HeldOutside();
+    private final Proxy proxy = new Proxy(outside,
+            Config.read(Bed.config().getBytes(StandardCharsets.UTF_8)), 0);
+
+    @Test
+    void withNothingOutItEndsOnceTheLastComersAreOver() {
+        proxy.start();
+        outside.pass(10);
+        Future<Void> stopped = proxy.stop();
+        outside.pass(490);
+        assertFalse(stopped.isComplete());
+        outside.pass(30);
+        assertTrue(stopped.isComplete());
+    }
+}
