--- a/src/test/java/pathgw/net/ProofTest.java
+++ b/src/test/java/pathgw/net/ProofTest.java
@@ -21,7 +21,7 @@
         asked.spoke(at(1));
         asked.lives(at(3));
         asked.fellSilent(at(3));
-        asked.asked(at(6));
+        asked.answered(at(6));
         asked.ended(at(7));
         asked.lives(at(8));
         assertEquals(at(9), asked.until());
@@ -30,18 +30,29 @@
     }
 
     @Test
-    void aProxyWithNoWatchIsHeldToItsListForTheTimeForAskingFromItsLastCall() {
-        assertEquals(at(10), asked.until(), "from its start on");
+    void withNoWatchTheListHoldsForSixSecondsFromWhatWasHeardLast() {
+        assertEquals(at(6), asked.until(), "from its start on");
         asked.spoke(at(1));
         asked.ended(at(2));
-        assertEquals(at(12), asked.until());
-        asked.asked(at(5));
-        assertEquals(at(15), asked.until());
+        assertEquals(at(7), asked.until(), "its end tells of nothing since its last line");
+        asked.answered(at(5));
+        assertEquals(at(11), asked.until());
+    }
+
+    @Test
+    void aShorterTimeForAskingCountsFromTheEndOfTheWatch() {
+        Proof shorter = new Proof(false, at(2));
+        shorter.spoke(at(1));
+        shorter.ended(at(3));
+        assertEquals(at(5), shorter.until());
     }
 
     @Test
     void aCallThatFellSilentWhileItWaitedHidesWhatCameAfterItWasMade() {
-        asked.asked(at(1));
+        asked.answered(at(1));
+        asked.fellSilent(at(2));
+        assertEquals(at(7), asked.until());
+        asked.spoke(at(3));
         asked.fellSilent(at(2));
         assertEquals(at(8), asked.until());
     }
@@ -49,7 +60,7 @@
     @Test
     void wherePushedAllThatIsThereCountsWithNoWatch() {
         assertEquals(at(0), pushed.until(), "from its start on");
-        pushed.asked(at(1));
+        pushed.answered(at(1));
         assertEquals(at(0), pushed.until());
         pushed.spoke(at(2));
         assertEquals(at(8), pushed.until());
@@ -67,7 +78,16 @@
         assertEquals(at(12), pushed.until());
         asked.spoke(at(1));
         asked.moved(at(2));
-        asked.lives(at(9));
-        assertEquals(at(12), asked.until());
+        asked.lives(at(7));
+        assertEquals(at(8), asked.until());
+    }
+
+    @Test
+    void movedTwiceWhatTheOneInBetweenHadToTellCountsFromTheFirstTime() {
+        asked.spoke(at(1));
+        asked.moved(at(2));
+        asked.moved(at(4));
+        asked.lives(at(7));
+        assertEquals(at(8), asked.until());
     }
 }
