--- a/src/main/java/pathgw/simulation/Play.java
+++ b/src/main/java/pathgw/simulation/Play.java
@@ -257,7 +257,7 @@
             return false;
         }
         end.reads(talk::came);
-        end.whenOver(talk::over);
+        end.whenOver(over -> talk.over());
         return true;
     }
 
--- a/src/main/java/pathgw/simulation/VirtualPipe.java
+++ b/src/main/java/pathgw/simulation/VirtualPipe.java
@@ -26,12 +26,13 @@
     private VirtualPipe other;
     private Consumer<Buffer> reader;
     private Consumer<Buffer> tap = bytes -> { };
-    private Runnable whenOver = () -> { };
+    private Consumer<Over> whenOver = over -> { };
     private Runnable whenRoom = () -> { };
     private boolean paused;
     private boolean closed;
     private boolean overTold;
     private boolean endsWriting;
+    private Over how = Over.ORDERLY;
     /** What arrives later than this is lost; what lies unread at the machine can still be read. */
     private long lostAfter = Long.MAX_VALUE;
     private boolean wasFull;
@@ -83,7 +84,7 @@
     }
 
     @Override
-    public void whenOver(Runnable over) {
+    public void whenOver(Consumer<Over> over) {
         whenOver = over;
     }
 
@@ -192,6 +193,7 @@
             boolean resets = !unread.isEmpty();
             end();
             other.lostAfter = resets ? net.now() : other.lostAfter;
+            other.how = resets ? Over.BROKEN : other.how;
             net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
         }
     }
@@ -209,12 +211,14 @@
             end();
             lostAfter = net.now();
             other.lostAfter = net.now();
+            other.how = Over.BROKEN;
             net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
         }
     }
 
     private void end() {
         closed = true;
+        how = Over.BROKEN;
         owner.pipes.remove(this);
         net.soon(owner, this::over);
     }
@@ -234,7 +238,7 @@
             while (!unwritten.isEmpty()) {
                 unwritten.poll().fail(new IOException("closed"));
             }
-            whenOver.run();
+            whenOver.accept(how);
         }
     }
 
--- a/src/test/java/pathgw/net/ListCallTest.java
+++ b/src/test/java/pathgw/net/ListCallTest.java
@@ -46,6 +46,21 @@
         assertEquals(List.of("! the connection ended"), heard);
     }
 
+    @Test
+    void anAnswerWithoutLengthIsWholeOnlyWhereItsConnectionEndsWell() {
+        String head = "HTTP/1.1 200 OK\r\n\r\n";
+        assertEquals(List.of("ab"), answer(head + "ab\n{}"));
+        list.ends();
+        assertEquals(List.of("ab", "{}", "! ended"), heard);
+    }
+
+    @Test
+    void anAnswerWithoutLengthThatIsResetIsCut() {
+        answer("HTTP/1.1 200 OK\r\n\r\n{}");
+        list.breaks();
+        assertEquals(List.of("! the connection ended"), heard);
+    }
+
     @Test
     void everyOtherAnswerEndsTheCallOnceAndSaysWhy() {
         assertEquals(List.of("! status 503"), answer("HTTP/1.1 503 No\r\ncontent-length: 1\r\n\r\nx"));
--- a/src/test/java/pathgw/simulation/PlantedTest.java
+++ b/src/test/java/pathgw/simulation/PlantedTest.java
@@ -168,14 +168,14 @@
             }
 
             @Override
-            public void whenOver(Runnable over) {
-                honest.whenOver(() -> {
+            public void whenOver(Consumer<Over> over) {
+                honest.whenOver(how -> {
                     Buffer lost = out;
                     if (lost != null && lost.toString().contains("c=" + offering)) {
                         world.after(after, () -> world.honest.dial(pipe.there(), Duration.ofMillis(75))
                                 .onSuccess(other -> other.write(lost)));
                     }
-                    over.run();
+                    over.accept(how);
                 });
             }
         }, Tampered::toNodes);
@@ -255,7 +255,7 @@
     void aConnectionThatIsNeverGivenBack() {
         found(5, "leak", arrived((world, pipe) -> new Tampered.Through(pipe) {
             @Override
-            public void whenOver(Runnable over) {
+            public void whenOver(Consumer<Over> over) {
                 // Nobody hears of it.
             }
         }));
--- a/src/test/java/pathgw/simulation/Tampered.java
+++ b/src/test/java/pathgw/simulation/Tampered.java
@@ -89,7 +89,7 @@
         }
 
         @Override
-        public void whenOver(Runnable over) {
+        public void whenOver(Consumer<Over> over) {
             honest.whenOver(over);
         }
 
