--- a/src/test/java/pathgw/net/VertxOutsideTest.java
+++ b/src/test/java/pathgw/net/VertxOutsideTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.ChannelOption;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import pathgw.config.Address;
@@ -35,6 +37,23 @@
         }
     }
 
+    /** Small writes that the system holds back would go with a reset. */
+    @Test
+    void neitherEndHoldsSmallWritesBack() throws Exception {
+        Vertx vertx = VertxOutside.vertx();
+        try {
+            VertxOutside outside = new VertxOutside(vertx);
+            Promise<Pipe> came = Promise.promise();
+            int port = done(outside.listen(new Address(HERE, 0), came::tryComplete));
+            Pipe dialled = done(outside.dial(new Address(HERE, port), Duration.ofSeconds(5)));
+            for (Pipe end : List.of(dialled, done(came.future()))) {
+                assertTrue(((VertxOutside.Socket) end).channel().config().getOption(ChannelOption.TCP_NODELAY));
+            }
+        } finally {
+            done(vertx.close());
+        }
+    }
+
     private static <T> T done(Future<T> future) throws Exception {
         return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
     }
