--- a/src/test/java/pathgw/ColdFleet.java
+++ b/src/test/java/pathgw/ColdFleet.java
@@ -30,8 +30,8 @@
     }
 
     /**
-     * Each proxy meets the cold node once at the start, which begins its budget. Then for so long no key is the
-     * cold node's, and whatever may be saved is; after that every key is, at all proxies in one moment.
+     * Each proxy meets the cold node once at the start, which begins its budget. Then for so long no key is
+     * the cold node's, and whatever may be saved is; after that every key is, at all proxies in one moment.
      *
      * @param capacity accesses a second that each warm node has here, as many as it can bear
      */
@@ -73,8 +73,8 @@
                 for (int i = 0; i < come; i++) {
                     long id = ++ids;
                     int before = bed.sentTo.size();
-                    bed.decide.access(id, 0, 0, key(chance, first || ms >= quietMs), Bed.ms(ms + 1000), Duration.ZERO,
-                            false, false);
+                    bed.decide.access(id, 0, 0, key(chance, first || ms >= quietMs), Bed.ms(ms + 1000),
+                            Duration.ZERO, false, false);
                     bed.pull();
                     if (bed.sentTo.size() > before) {
                         sent[step] += bed.sentTo.get(before) == COLD ? 1 : 0;
@@ -97,7 +97,7 @@
         return new Played(most, Arrays.stream(sent).sum());
     }
 
-    /** One whose highest score is the cold node's, and which that node keeps from its first moment on; or not. */
+    /** One whose highest score is the cold node's, which keeps it from its first moment on; or another's. */
     private static long key(Random chance, boolean ofCold) {
         while (true) {
             long key = chance.nextLong() | 1;
--- a/src/test/java/pathgw/ColdFleetTest.java
+++ b/src/test/java/pathgw/ColdFleetTest.java
@@ -13,8 +13,8 @@
             for (int quietMs : new int[] {0, 4000, 6500}) {
                 for (long seed = 0; seed < SEEDS; seed++) {
                     double most = ColdFleet.play(proxies, capacity, even, quietMs, seed).most();
-                    assertTrue(most <= 1, proxies + " proxies, " + capacity + "/s, quiet " + quietMs + " ms, seed "
-                            + seed + ": " + most + " of the bound");
+                    assertTrue(most <= 1, proxies + " proxies, " + capacity + "/s, quiet " + quietMs
+                            + " ms, seed " + seed + ": " + most + " of the bound");
                 }
             }
         }
--- a/src/test/java/pathgw/KnownRedTest.java
+++ b/src/test/java/pathgw/KnownRedTest.java
@@ -41,8 +41,8 @@
         if (list != null) {
             Files.writeString(file, list);
         }
-        List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"),
-                ".ci/KnownRed.java", file.toString()));
+        String java = ProcessHandle.current().info().command().orElse("java");
+        List<String> command = new ArrayList<>(List.of(java, ".ci/KnownRed.java", file.toString()));
         if (reports) {
             command.add(folder.resolve("reports").toString());
             command.add(folder.resolve("none").toString());
@@ -61,15 +61,18 @@
                 judged(null, true));
         report(green("one"), red("two"), red("red"));
         assertEquals("1 known-red: passed over: " + RED.trim()
-                + "\nknown-red: failed or was skipped, and is not listed: pathgw.net.XTest#two", judged(RED, true));
+                + "\nknown-red: failed or was skipped, and is not listed: pathgw.net.XTest#two",
+                judged(RED, true));
     }
 
     @Test
     void aListedTestThatPassesOrIsNotThereIsToBeStruck() throws Exception {
         report(green("red"));
-        assertEquals("1 known-red: listed, but it passes; strike it: pathgw.net.XTest#red", judged(RED, true));
+        assertEquals("1 known-red: listed, but it passes; strike it: pathgw.net.XTest#red",
+                judged(RED, true));
         report(green("one"));
-        assertEquals("1 known-red: listed, but there is no such test: pathgw.net.XTest#red", judged(RED, true));
+        assertEquals("1 known-red: listed, but there is no such test: pathgw.net.XTest#red",
+                judged(RED, true));
     }
 
     @Test
@@ -85,8 +88,8 @@
         assertEquals("0 ", judged("\n" + RED, false));
         assertEquals("1 known-red: 4 lines, 3 at most", judged(RED + RED.replace("red", "b")
                 + RED.replace("red", "c") + RED.replace("red", "d"), false));
-        for (String bad : new String[] {"XTest", "pathgw.XTest#a", "pathgw.XTest#a, why", "pathgw.XTest#a, , issue 3",
-                "pathgw.XTest#a, why, issue x"}) {
+        for (String bad : new String[] {"XTest", "pathgw.XTest#a", "pathgw.XTest#a, why", 
+                "pathgw.XTest#a, , issue 3", "pathgw.XTest#a, why, issue x"}) {
             assertTrue(judged(bad, false).startsWith("1 known-red: not of the form"), bad);
         }
     }
--- a/src/test/java/pathgw/net/CrossingTest.java
+++ b/src/test/java/pathgw/net/CrossingTest.java
@@ -21,7 +21,7 @@
 
     // Clients that have gone.
 
-    /** Flood and close lie at the machine together: the client has gone for as long as the loop stood still. */
+    /** Both lie at the machine together: the client has gone for as long as the loop stood still. */
     @Test
     void ofAFloodWithACloseBehindItNothingIsSentOn() throws Exception {
         try (RawWorld world = new RawWorld().knows()) {
--- a/src/test/java/pathgw/net/ProcessIT.java
+++ b/src/test/java/pathgw/net/ProcessIT.java
@@ -78,8 +78,8 @@
 
     private void start(int discovery) throws IOException {
         configure(discovery);
-        ProcessBuilder program = new ProcessBuilder("/bin/sh", "-c", "ulimit -n 256; exec java -Xmx48m -XX:+UseSerialGC"
-                + " -XX:TieredStopAtLevel=1 -Djava.library.path=target/native"
+        ProcessBuilder program = new ProcessBuilder("/bin/sh", "-c", "ulimit -n 256; exec java -Xmx48m"
+                + " -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Djava.library.path=target/native"
                 + " -Djava.util.logging.manager=pathgw.net.LastingLogs -jar target/pathgw.jar serve")
                 .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
         program.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
@@ -99,7 +99,8 @@
     }
 
     private void signal(String name) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+        String pid = Long.toString(process.pid());
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, pid).start().waitFor());
     }
 
     /** As soon as the program listens. */
@@ -138,7 +139,9 @@
                 Peer client = new Peer(socket);
                 client.sends(RawWorld.read(id));
                 Peer at = null;
-                for (int waits = 0; waits < 3000 && at == null && socket.getInputStream().available() == 0; waits++) {
+                long until = System.nanoTime() + 3_000_000_000L;
+                while (at == null && socket.getInputStream().available() == 0
+                        && System.nanoTime() < until) {
                     Thread.sleep(1);
                     at = node.nextNow();
                 }
@@ -160,7 +163,7 @@
         assertEquals(128 + 15, process.exitValue(), log());
     }
 
-    /** The command lies at the machine, and the signal is there before it is read: the process stands still. */
+    /** The process stands still: command and signal lie at the machine together. */
     @Test
     void toldToEndWhileItWarmsUpItAnswersWhoHasAsked() throws Exception {
         start(list.port());
--- a/src/test/java/pathgw/net/RawWorld.java
+++ b/src/test/java/pathgw/net/RawWorld.java
@@ -21,8 +21,8 @@
 import pathgw.config.Config;
 
 /**
- * One proxy on real sockets between raw peers that the test holds byte by byte. Its loop can be held: what the
- * peers do meanwhile lies at the machine, all of it, when the loop goes on.
+ * One proxy on real sockets between raw peers that the test holds byte by byte. Its loop can be held: what
+ * the peers do meanwhile lies at the machine, all of it, when the loop goes on.
  */
 final class RawWorld implements AutoCloseable {
     static final int PATIENCE_MS = 5000;
--- a/src/test/java/pathgw/net/SizeTest.java
+++ b/src/test/java/pathgw/net/SizeTest.java
@@ -75,10 +75,10 @@
             outside.dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
         }
         Life life = new Life(agenda, desk, links, config.answerSlack(), Watcher.NONE);
-        Complaints complaints = new Complaints(System.getLogger("test"), agenda);
+        RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), agenda);
         for (int i = 0; i < 200; i++) {
             Bed.Socket asks = new Bed.Socket();
-            new Client(asks, config, agenda, life, complaints, c -> { });
+            new Client(asks, config, agenda, life, limitedLog, c -> { });
             asks.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
         }
         long nodes = outside.dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
--- a/src/test/java/pathgw/net/VertxOutsideTest.java
+++ b/src/test/java/pathgw/net/VertxOutsideTest.java
@@ -47,7 +47,8 @@
             int port = done(outside.listen(new Address(HERE, 0), came::tryComplete));
             Pipe dialled = done(outside.dial(new Address(HERE, port), Duration.ofSeconds(5)));
             for (Pipe end : List.of(dialled, done(came.future()))) {
-                assertTrue(((VertxOutside.Socket) end).channel().config().getOption(ChannelOption.TCP_NODELAY));
+                assertTrue(((VertxOutside.Socket) end).channel().config()
+                        .getOption(ChannelOption.TCP_NODELAY));
             }
         } finally {
             done(vertx.close());
