--- a/src/test/java/pathgw/net/CrossingTest.java
+++ b/src/test/java/pathgw/net/CrossingTest.java
@@ -184,12 +184,16 @@
         try (RawWorld.Door door = new RawWorld.Door(peer -> { }); RawWorld world = new RawWorld()) {
             int size = 32 << 20;
             VertxOutside outside = new VertxOutside(world.vertx);
+            io.vertx.core.Promise<Pipe.Over> over = io.vertx.core.Promise.promise();
             world.loop.runOnContext(now -> outside.dial(new pathgw.config.Address("127.0.0.1", door.port()),
                     java.time.Duration.ofSeconds(2)).onSuccess(pipe -> {
+                        pipe.whenOver(over::complete);
                         pipe.write(io.vertx.core.buffer.Buffer.buffer(new byte[size]));
                         pipe.close();
                     }));
             Peer peer = door.next();
+            // Not read before: a peer that reads as fast as this side writes could have had it all in time.
+            RawWorld.done(over.future());
             int got = 0;
             byte[] some = new byte[1 << 16];
             try {
