--- a/src/test/java/pathgw/net/StopTest.java
+++ b/src/test/java/pathgw/net/StopTest.java
@@ -41,6 +41,19 @@
         assertTrue(stopped.isComplete());
     }
 
+    /** 14 of 10,000 seeds had not stopped in 4.5 s: newcomers were sent away, and each connection awaited. */
+    @Test
+    void whoGoesOnComingDoesNotKeepItFromEnding() {
+        proxy.start();
+        outside.pass(10);
+        Future<Void> stopped = proxy.stop();
+        for (int ms = 0; ms < 1100; ms += 100) {
+            outside.arrives.accept(new Bed.Socket());
+            outside.pass(100);
+        }
+        assertTrue(stopped.isComplete());
+    }
+
     @Test
     void withNothingOutItEndsOnceTheLastComersAreOver() {
         proxy.start();
