--- a/src/test/java/pathgw/simulation/PlantedTest.java
+++ b/src/test/java/pathgw/simulation/PlantedTest.java
@@ -117,10 +117,9 @@
         });
     }
 
-    /** All watches silent, and a service short of turns: whom it sends away must not go on as if told. */
-    @Test
-    void beingTurnedAwayTakenForBeingTold() {
-        Tamper believes = dialled((world, pipe) -> new Tampered.Through(pipe) {
+    /** A call that is turned away is taken for a list in which nothing has changed. */
+    private static Tamper believesRefusals() {
+        return dialled((world, pipe) -> new Tampered.Through(pipe) {
             @Override
             public void reads(Consumer<Buffer> came) {
                 String nothing = "{\"seq\":0,\"whole\":false,\"hosts\":[]}\n";
@@ -129,7 +128,12 @@
                                 + Integer.toHexString(nothing.length()) + "\r\n" + nothing + "\r\n")));
             }
         }, Tampered::toList);
-        found(3, "drain", believes, 1, seed -> Script.read("seed " + seed
+    }
+
+    /** All watches silent, and a service short of turns: whom it sends away must not go on as if told. */
+    @Test
+    void beingTurnedAwayTakenForBeingTold() {
+        found(3, "drain", believesRefusals(), 1, seed -> Script.read("seed " + seed
                 + "\nproxies 20\nnodes 8\nrate 100/s\ncalls 2/s\nlasts 16000ms\n"
                 + "at 9000ms list-silent by 1\nat 9600ms list-drains by 0.25"));
     }
@@ -286,16 +290,7 @@
     /** A failed call taken for an answer: the list holds for as long as the service is only asked. */
     @Test
     void aFailedCallTakenForNews() {
-        Tamper believes = dialled((world, pipe) -> new Tampered.Through(pipe) {
-            @Override
-            public void reads(Consumer<Buffer> came) {
-                String nothing = "{\"seq\":0,\"whole\":false,\"hosts\":[]}\n";
-                honest.reads(bytes -> came.accept(!bytes.toString().startsWith("HTTP/1.1 503") ? bytes
-                        : Buffer.buffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                + Integer.toHexString(nothing.length()) + "\r\n" + nothing + "\r\n")));
-            }
-        }, Tampered::toList);
-        found(3, "drain", believes, 1, seed -> Script.read("seed " + seed
+        found(3, "drain", believesRefusals(), 1, seed -> Script.read("seed " + seed
                 + "\nproxies 3\nnodes 8\nrate 60/s\nlasts 16000ms\nat 3000ms for 9000ms list-refuses by 1"
                 + "\nat 3100ms list-ends\nat 3300ms list-drains by 0.25"));
     }
