--- a/src/main/java/pathgw/simulation/Referee.java
+++ b/src/main/java/pathgw/simulation/Referee.java
@@ -50,6 +50,8 @@
     private static final long ON_THE_WAY = 10_000_000;
     /** For a client that has gone nothing begins later than this, whatever held up the proxy. */
     private static final long GONE = 100_000_000;
+    /** An attempt may tell so much more than what is left to its client, and no more. */
+    private static final long TOLD_TOO_MUCH = 150_000_000;
     /** Descriptors that a proxy has for files, its selector, the list, its peers and its listener. */
     private static final int OTHER_DESCRIPTORS = 40;
     /** Service has come back by then, as measured over the last three seconds. */
@@ -267,6 +269,12 @@
         if (first > c.ask.due().toNanos() + figures.answerSlack + ON_SOCKETS) {
             broken(1, "late-hand-off", request.id() + " is handed to " + place + " after its outer limit");
         }
+        String told = request.label('d');
+        long left = c.ask.due().toNanos() - first;
+        if (!told.isEmpty() && Long.parseLong(told) * 1_000_000 > left + TOLD_TOO_MUCH) {
+            broken(1, "time-told", request.id() + " tells " + place + " " + told + " ms though its client waits "
+                    + left / 1_000_000 + " ms more");
+        }
         if (c.handOffs.size() >= figures.maxHandOffs) {
             broken(1, "many", request.id() + " is handed off more than " + figures.maxHandOffs + " times");
         }
--- a/src/test/java/pathgw/net/CrossingTest.java
+++ b/src/test/java/pathgw/net/CrossingTest.java
@@ -297,4 +297,44 @@
             assertFalse(told.startsWith("VA"), told + again);
         }
     }
+
+    // What attempts tell.
+
+    /** The time that an attempt at the origin tells, from its head. */
+    private static long toldTime(Peer origin) throws Exception {
+        long told = -1;
+        for (String line = origin.line(); !line.equals("\r\n"); line = origin.line()) {
+            told = line.startsWith("X-Labels: ")
+                    ? Long.parseLong(line.trim().replaceFirst(".*[:,]d=(\\d+).*", "$1")) : told;
+        }
+        return told;
+    }
+
+    @Test
+    void aFetchAfterALateMissTellsTheOriginTheTimeThatIsLeft() throws Exception {
+        try (RawWorld world = new RawWorld().knows()) {
+            Peer client = world.client();
+            String id = world.id();
+            Peer at = world.carries(client, id);
+            Thread.sleep(200);
+            at.sends("EN O" + id + "\r\n");
+            long told = toldTime(world.origin.next());
+            assertTrue(told > 0 && told <= 1400 - 200, "told " + told + " of 1400 ms, 200 ms later");
+        }
+    }
+
+    @Test
+    void aWriteWhoseConnectionComesUpLateTellsTheOriginTheTimeThatIsLeft() throws Exception {
+        RawWorld.LateDials[] late = {null};
+        try (RawWorld world = new RawWorld(outside -> late[0] = new RawWorld.LateDials(outside),
+                text -> text).knows()) {
+            late[0].port = world.origin.port();
+            world.client().sends(RawWorld.write(world.id()));
+            Runnable dial = late[0].waiting.poll(RawWorld.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            Thread.sleep(100);
+            world.loop.runOnContext(now -> dial.run());
+            long told = toldTime(world.origin.next());
+            assertTrue(told > 0 && told <= 290 - 100, "told " + told + " of 290 ms, 100 ms later");
+        }
+    }
 }
--- a/src/test/java/pathgw/simulation/PlantedTest.java
+++ b/src/test/java/pathgw/simulation/PlantedTest.java
@@ -333,4 +333,15 @@
             }
         }));
     }
+
+    /** As the labels came, the time in them is the client's first figure, whatever has passed since. */
+    @Test
+    void attemptsAtTheOriginThatTellTheClientsFirstFigure() {
+        found(1, "time-told", dialled((world, pipe) -> new Tampered.Through(pipe) {
+            @Override
+            public Future<Void> write(Buffer bytes) {
+                return honest.write(Buffer.buffer(bytes.toString().replaceFirst("d=\\d+", "d=600")));
+            }
+        }, Tampered::toOrigin));
+    }
 }
--- a/src/test/java/pathgw/simulation/Tampered.java
+++ b/src/test/java/pathgw/simulation/Tampered.java
@@ -36,6 +36,10 @@
         return to.host().startsWith("10.1.") || to.host().startsWith("10.3.");
     }
 
+    static boolean toOrigin(Address to) {
+        return to.host().startsWith("10.3.");
+    }
+
     static boolean fromClients(Pipe pipe) {
         return pipe.there().host().startsWith("10.4.");
     }
