--- a/src/main/java/pathgw/Kind.java
+++ b/src/main/java/pathgw/Kind.java
@@ -1,7 +1,9 @@
 package pathgw;
 
-/** What nodes of one machine kind do: one proxy meets a single node too seldom to learn it of each. */
+/**
+ * What nodes of one machine kind do: one proxy meets a single node too seldom to learn it of each.
+ */
 final class Kind {
-    double late;
-    double part = 1;
+  double late;
+  double part = 1;
 }
--- a/src/main/java/pathgw/command/Cli.java
+++ b/src/main/java/pathgw/command/Cli.java
@@ -4,15 +4,21 @@
 import picocli.CommandLine.Command;
 
 /** All commands that are not the serving process itself. */
-@Command(name = "pathgw", mixinStandardHelpOptions = true, subcommands = Simulate.class,
-        description = {"A proxy that spreads keys over cache nodes before a slow origin.",
-            "Besides the commands below: serve, benchlink, rehearse."})
+@Command(
+    name = "pathgw",
+    mixinStandardHelpOptions = true,
+    subcommands = Simulate.class,
+    description = {
+      "A proxy that spreads keys over cache nodes before a slow origin.",
+      "Besides the commands below: serve, benchlink, rehearse."
+    })
 public final class Cli {
-    private Cli() {
-    }
+  private Cli() {}
 
-    /** @return 0 for done, 1 for a rule broken, 2 for bad use */
-    public static int run(String[] args) {
-        return new CommandLine(new Cli()).execute(args);
-    }
+  /**
+   * @return 0 for done, 1 for a rule broken, 2 for bad use
+   */
+  public static int run(String[] args) {
+    return new CommandLine(new Cli()).execute(args);
+  }
 }
--- a/src/main/java/pathgw/command/Simulate.java
+++ b/src/main/java/pathgw/command/Simulate.java
@@ -20,117 +20,149 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
-@Command(name = "simulate", mixinStandardHelpOptions = true,
-        description = "Plays the proxy on a virtual network and clock, with troubles drawn from seeds.")
+@Command(
+    name = "simulate",
+    mixinStandardHelpOptions = true,
+    description = "Plays the proxy on a virtual network and clock, with troubles drawn from seeds.")
 final class Simulate implements Callable<Integer> {
-    private static final class What {
-        @Option(names = "--seeds", paramLabel = "FROM-TO", description = "All seeds of this range.")
-        private String seeds;
-        @Option(names = "--seed", paramLabel = "N", description = "One seed.")
-        private Long seed;
-        @Option(names = "--script", paramLabel = "FILE",
-                description = "A script, as a failing run leaves one.")
-        private Path script;
-    }
+  private static final class What {
+    @Option(names = "--seeds", paramLabel = "FROM-TO", description = "All seeds of this range.")
+    private String seeds;
 
-    @Spec
-    private CommandSpec spec;
-    @ArgGroup(multiplicity = "1")
-    private What what;
-    @Option(names = "--jobs", paramLabel = "N", description = "Threads; as many as cores by default.")
-    private int jobs = Runtime.getRuntime().availableProcessors();
-    @Option(names = "--fleet", description = "Seeds draw fleets of up to 100 proxies and 200 nodes.")
-    private boolean fleet;
-    @Option(names = "--trace", description = "Prints all that happens in one run.")
-    private boolean trace;
-    @Option(names = "--counts", description = "Prints how often each trouble, end and answer came.")
-    private boolean counts;
-    @Option(names = "--keep", paramLabel = "DIR",
-            description = "Leaves the shrunk scripts of failing seeds there.")
-    private Path keep;
+    @Option(names = "--seed", paramLabel = "N", description = "One seed.")
+    private Long seed;
 
-    @Override
-    public Integer call() throws InterruptedException, IOException {
-        quiet();
-        if (jobs < 1 || jobs > 256) {
-            throw new ParameterException(spec.commandLine(), "--jobs is not between 1 and 256");
-        }
-        if (what.seeds != null) {
-            return seeds();
-        }
-        if (what.seed != null && what.seed < 0) {
-            throw new ParameterException(spec.commandLine(), "--seed is below 0");
-        }
-        String script = what.seed != null ? Seeds.script(what.seed, fleet) : read(what.script);
-        try {
-            String breach = Seeds.trace(script, trace ? System.out::println : null);
-            System.out.println(breach == null ? "all rules kept" : script + breach);
-            return breach == null ? 0 : 1;
-        } catch (BadInput e) {
-            throw new ParameterException(spec.commandLine(), what.script + ": " + e.getMessage());
-        }
-    }
+    @Option(
+        names = "--script",
+        paramLabel = "FILE",
+        description = "A script, as a failing run leaves one.")
+    private Path script;
+  }
 
-    private String read(Path file) {
-        try {
-            return Files.readString(file);
-        } catch (IOException e) {
-            throw new ParameterException(spec.commandLine(), file + ": cannot be read: " + e.getMessage());
-        }
+  @Spec private CommandSpec spec;
+
+  @ArgGroup(multiplicity = "1")
+  private What what;
+
+  @Option(names = "--jobs", paramLabel = "N", description = "Threads; as many as cores by default.")
+  private int jobs = Runtime.getRuntime().availableProcessors();
+
+  @Option(names = "--fleet", description = "Seeds draw fleets of up to 100 proxies and 200 nodes.")
+  private boolean fleet;
+
+  @Option(names = "--trace", description = "Prints all that happens in one run.")
+  private boolean trace;
+
+  @Option(names = "--counts", description = "Prints how often each trouble, end and answer came.")
+  private boolean counts;
+
+  @Option(
+      names = "--keep",
+      paramLabel = "DIR",
+      description = "Leaves the shrunk scripts of failing seeds there.")
+  private Path keep;
+
+  @Override
+  public Integer call() throws InterruptedException, IOException {
+    quiet();
+    if (jobs < 1 || jobs > 256) {
+      throw new ParameterException(spec.commandLine(), "--jobs is not between 1 and 256");
+    }
+    if (what.seeds != null) {
+      return seeds();
+    }
+    if (what.seed != null && what.seed < 0) {
+      throw new ParameterException(spec.commandLine(), "--seed is below 0");
+    }
+    String script = what.seed != null ? Seeds.script(what.seed, fleet) : read(what.script);
+    try {
+      String breach = Seeds.trace(script, trace ? System.out::println : null);
+      System.out.println(breach == null ? "all rules kept" : script + breach);
+      return breach == null ? 0 : 1;
+    } catch (BadInput e) {
+      throw new ParameterException(spec.commandLine(), what.script + ": " + e.getMessage());
     }
+  }
 
-    /**
-     * What the proxies of a run log would be told thousands of times, with times of day that are not theirs.
-     */
-    private void quiet() {
-        LogManager.getLogManager().reset();
-        Logger.getLogger("").setLevel(Level.OFF);
+  private String read(Path file) {
+    try {
+      return Files.readString(file);
+    } catch (IOException e) {
+      throw new ParameterException(
+          spec.commandLine(), file + ": cannot be read: " + e.getMessage());
     }
+  }
 
-    private int seeds() throws InterruptedException, IOException {
-        String[] range = what.seeds.split("-", -1);
-        if (range.length != 2 || !range[0].matches("\\d{1,12}") || !range[1].matches("\\d{1,12}")
-                || Long.parseLong(range[0]) > Long.parseLong(range[1])
-                || Long.parseLong(range[1]) - Long.parseLong(range[0]) > 10_000_000) {
-            throw new ParameterException(spec.commandLine(),
-                    "--seeds is '" + what.seeds + "', not a range like 0-9999");
-        }
-        long from = Long.parseLong(range[0]);
-        long to = Long.parseLong(range[1]);
-        long began = System.nanoTime();
-        boolean terminal = System.console() != null;
-        Consumer<long[]> played = so -> {
-            if (terminal && so[0] % (fleet ? 1 : 50) == 0) {
-                System.err.printf("\r%d of %d seeds, %d failed ", so[0], to - from + 1, so[1]);
-            }
+  /**
+   * What the proxies of a run log would be told thousands of times, with times of day that are not
+   * theirs.
+   */
+  private void quiet() {
+    LogManager.getLogManager().reset();
+    Logger.getLogger("").setLevel(Level.OFF);
+  }
+
+  private int seeds() throws InterruptedException, IOException {
+    String[] range = what.seeds.split("-", -1);
+    if (range.length != 2
+        || !range[0].matches("\\d{1,12}")
+        || !range[1].matches("\\d{1,12}")
+        || Long.parseLong(range[0]) > Long.parseLong(range[1])
+        || Long.parseLong(range[1]) - Long.parseLong(range[0]) > 10_000_000) {
+      throw new ParameterException(
+          spec.commandLine(), "--seeds is '" + what.seeds + "', not a range like 0-9999");
+    }
+    long from = Long.parseLong(range[0]);
+    long to = Long.parseLong(range[1]);
+    long began = System.nanoTime();
+    boolean terminal = System.console() != null;
+    Consumer<long[]> played =
+        so -> {
+          if (terminal && so[0] % (fleet ? 1 : 50) == 0) {
+            System.err.printf("\r%d of %d seeds, %d failed ", so[0], to - from + 1, so[1]);
+          }
         };
-        Seeds.Sum sum = fleet ? Seeds.fleets(from, to, jobs, true, played)
-                : Seeds.play(from, to, jobs, true, played);
-        for (Seeds.Failure f : sum.failed()) {
-            System.out.println("seed " + f.seed() + ": " + f.breach());
-            if (!f.shrunk().isEmpty()) {
-                System.out.println(f.shrunk().indent(4));
-                if (keep != null) {
-                    Files.createDirectories(keep);
-                    Files.writeString(keep.resolve("seed-" + f.seed() + ".txt"), "# " + f.breach() + "\n"
-                            + f.shrunk());
-                }
-            }
+    Seeds.Sum sum =
+        fleet
+            ? Seeds.fleets(from, to, jobs, true, played)
+            : Seeds.play(from, to, jobs, true, played);
+    for (Seeds.Failure f : sum.failed()) {
+      System.out.println("seed " + f.seed() + ": " + f.breach());
+      if (!f.shrunk().isEmpty()) {
+        System.out.println(f.shrunk().indent(4));
+        if (keep != null) {
+          Files.createDirectories(keep);
+          Files.writeString(
+              keep.resolve("seed-" + f.seed() + ".txt"), "# " + f.breach() + "\n" + f.shrunk());
         }
-        if (counts) {
-            sum.counts().forEach((kind, n) -> System.out.printf("%10d  %s%n", n, kind));
-            List<Double> service = sum.service().stream().sorted().toList();
-            if (!service.isEmpty()) {
-                System.out.printf(Locale.ROOT,
-                        "service at the end: least %.3f, 1st percentile %.3f, median %.3f%n",
-                        service.get(0), service.get(service.size() / 100), service.get(service.size() / 2));
-            }
-        }
-        double took = Duration.ofNanos(System.nanoTime() - began).toMillis() / 1000.0;
-        System.out.printf(Locale.ROOT, "%.1f seeds/s, %.0f virtual s/s, %d steps%n", sum.played() / took,
-                sum.virtualMs() / 1000.0 / took, sum.steps());
-        System.out.printf(Locale.ROOT, "%d seeds, %d failed, %.1f s, digest %016x%n", sum.played(),
-                sum.failed().size(), took, sum.digest());
-        return sum.failed().isEmpty() ? 0 : 1;
+      }
+    }
+    if (counts) {
+      sum.counts().forEach((kind, n) -> System.out.printf("%10d  %s%n", n, kind));
+      List<Double> service = sum.service().stream().sorted().toList();
+      if (!service.isEmpty()) {
+        System.out.printf(
+            Locale.ROOT,
+            "service at the end: least %.3f, 1st percentile %.3f, median %.3f%n",
+            service.get(0),
+            service.get(service.size() / 100),
+            service.get(service.size() / 2));
+      }
     }
+    double took = Duration.ofNanos(System.nanoTime() - began).toMillis() / 1000.0;
+    System.out.printf(
+        Locale.ROOT,
+        "%.1f seeds/s, %.0f virtual s/s, %d steps%n",
+        sum.played() / took,
+        sum.virtualMs() / 1000.0 / took,
+        sum.steps());
+    System.out.printf(
+        Locale.ROOT,
+        "%d seeds, %d failed, %.1f s, digest %016x%n",
+        sum.played(),
+        sum.failed().size(),
+        took,
+        sum.digest());
+    return sum.failed().isEmpty() ? 0 : 1;
+  }
 }
--- a/src/main/java/pathgw/command/package-info.java
+++ b/src/main/java/pathgw/command/package-info.java
@@ -1,4 +1,5 @@
 /**
- * The command line, thin: words to calls, results to lines and exit codes. Nothing uses it but {@code Main}.
+ * The command line, thin: words to calls, results to lines and exit codes. Nothing uses it but
+ * {@code Main}.
  */
 package pathgw.command;
--- a/src/main/java/pathgw/simulation/Breach.java
+++ b/src/main/java/pathgw/simulation/Breach.java
@@ -7,12 +7,12 @@
  * @param kind says in one word what broke it; two runs that break a rule alike have the same
  */
 record Breach(int rule, String kind, long atNanos, String text) {
-    boolean like(Breach other) {
-        return other != null && rule == other.rule && kind.equals(other.kind);
-    }
+  boolean like(Breach other) {
+    return other != null && rule == other.rule && kind.equals(other.kind);
+  }
 
-    @Override
-    public String toString() {
-        return "rule " + rule + " broken at " + atNanos / 1_000_000 + " ms, " + kind + ": " + text;
-    }
+  @Override
+  public String toString() {
+    return "rule " + rule + " broken at " + atNanos / 1_000_000 + " ms, " + kind + ": " + text;
+  }
 }
--- a/src/main/java/pathgw/simulation/Outcome.java
+++ b/src/main/java/pathgw/simulation/Outcome.java
@@ -5,11 +5,16 @@
 /**
  * What became of a run.
  *
- * @param breach  the first rule that was broken, or null
- * @param steps   things that happened
+ * @param breach the first rule that was broken, or null
+ * @param steps things that happened
  * @param service the share of first tries that were delivered in the last three seconds
- * @param counts  how often each trouble, end and answer came
+ * @param counts how often each trouble, end and answer came
  */
-record Outcome(Script script, Breach breach, long digest, long steps, long virtualMs, double service,
-        Map<String, Long> counts) {
-}
+record Outcome(
+    Script script,
+    Breach breach,
+    long digest,
+    long steps,
+    long virtualMs,
+    double service,
+    Map<String, Long> counts) {}
--- a/src/main/java/pathgw/simulation/Play.java
+++ b/src/main/java/pathgw/simulation/Play.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import pathgw.config.Address;
@@ -31,747 +31,928 @@
 
 /** Plays one script from its start to its end, or to the first rule that is broken. */
 final class Play implements Referee.World {
-    static final Duration COLD_FOR = Duration.ofSeconds(4);
-    private static final double COLD_FROM = 0.3;
-    private static final Duration FALL_FOR = Duration.ofSeconds(2);
-    private static final Duration NODE_IDLE = Duration.ofSeconds(3);
-    private static final long SLACK_MS = 50;
-    private static final long GRACE_MS = 500;
-    private static final int MAX_HAND_OFFS = 4;
-    private static final int CELLS = 3;
-    /** What the list has to tell counts as told by then. */
-    private static final Duration TOLD_WITHIN = Duration.ofSeconds(6);
-    private static final Duration ASK_WITHIN = Duration.ofSeconds(10);
-    private static final long STOP_WITHIN_MS = 4500;
-    private static final long SERVICE_OVER_MS = 3000;
-    /** After the last command, until nothing may be held any more. */
-    private static final long SETTLES_MS = 8000;
-    private static final int GATES_AT = 100;
-    private static final int GATES_A_NET = 250;
-    private static final Address PEERS_ALL = new Address("10.0.255.1", 7946);
-    private static final Address ORIGIN = new Address("10.3.0.1", 80);
-
-    private final Script script;
-    private final Tamper tamper;
-    private final Events events = new Events();
-    private final Trace trace;
-    private final VirtualNet net;
-    private final Referee referee;
-    private final Process clientsProcess;
-    private final Process listProcess;
-    private final Process originProcess;
-    private final NodeList list;
-    /** Every change of the list by its version. */
-    private final TreeMap<Long, NodeList.Entry> changed = new TreeMap<>();
-    private final Origin origin;
-    private final Mischief originMischief = new Mischief();
-    private final Clients clients;
-    private final List<Node> nodes = new ArrayList<>();
-    private final List<Gate> gates = new ArrayList<>();
-    private final Map<String, Memory> memories = new LinkedHashMap<>();
-    private final Map<String, List<Node>> missedAt = new LinkedHashMap<>();
-    private final Map<String, Long> faults = new LinkedHashMap<>();
-    private final List<VirtualPipe> listPipes = new ArrayList<>();
-    private final CacheNode.Figures nodeFigures;
-    private Address listAt = new Address("10.2.0.1", 8500);
-    private long listDownUntil;
-    private int incarnations;
-    private int hosts;
-
-    /** A cache node under one name, through all its processes. */
-    private static final class Node {
-        final String host;
-        final Mischief mischief = new Mischief();
-        final int number;
-        final int zones;
-        Address dial;
-        Process process;
-        CacheNode node;
-        long bornMs;
-        boolean going;
-
-        Node(String host, int number, int zones) {
-            this.host = host;
-            this.number = number;
-            this.zones = zones;
-        }
-
-        NodeList.Entry entry(String health) {
-            return new NodeList.Entry(host, dial.toString(), "z" + number % zones, "std", number % CELLS,
-                    health,
-                    bornMs);
-        }
-    }
-
-    /** A proxy under one name, through all its processes. */
-    private static final class Gate {
-        final int number;
-        Process process;
-        Proxy proxy;
-        long bornAt;
-        boolean serves;
-        boolean leaving;
-        String known;
-        Map<String, String> knownHealth = Map.of();
-        long knownVersion;
-
-        Gate(int number) {
-            this.number = number;
-        }
-
-        Address listen() {
-            return new Address(host(number), 11211);
-        }
-
-        static String host(int number) {
-            return "10." + (GATES_AT + number / GATES_A_NET) + "." + number % GATES_A_NET + ".1";
-        }
-    }
-
-    private Play(Script script, Tamper tamper, Consumer<String> out) {
-        this.script = script;
-        this.tamper = tamper;
-        trace = new Trace(out);
-        net = new VirtualNet(events, chance("net"), (process, bytes) ->
-                trace.mix(events.now(), bytes.hashCode()));
-        referee = new Referee(events, trace, this, new Referee.Figures(SLACK_MS * 1_000_000,
+  static final Duration COLD_FOR = Duration.ofSeconds(4);
+  private static final double COLD_FROM = 0.3;
+  private static final Duration FALL_FOR = Duration.ofSeconds(2);
+  private static final Duration NODE_IDLE = Duration.ofSeconds(3);
+  private static final long SLACK_MS = 50;
+  private static final long GRACE_MS = 500;
+  private static final int MAX_HAND_OFFS = 4;
+  private static final int CELLS = 3;
+
+  /** What the list has to tell counts as told by then. */
+  private static final Duration TOLD_WITHIN = Duration.ofSeconds(6);
+
+  private static final Duration ASK_WITHIN = Duration.ofSeconds(10);
+  private static final long STOP_WITHIN_MS = 4500;
+  private static final long SERVICE_OVER_MS = 3000;
+
+  /** After the last command, until nothing may be held any more. */
+  private static final long SETTLES_MS = 8000;
+
+  private static final int GATES_AT = 100;
+  private static final int GATES_A_NET = 250;
+  private static final Address PEERS_ALL = new Address("10.0.255.1", 7946);
+  private static final Address ORIGIN = new Address("10.3.0.1", 80);
+
+  private final Script script;
+  private final Tamper tamper;
+  private final Events events = new Events();
+  private final Trace trace;
+  private final VirtualNet net;
+  private final Referee referee;
+  private final Process clientsProcess;
+  private final Process listProcess;
+  private final Process originProcess;
+  private final NodeList list;
+
+  /** Every change of the list by its version. */
+  private final TreeMap<Long, NodeList.Entry> changed = new TreeMap<>();
+
+  private final Origin origin;
+  private final Mischief originMischief = new Mischief();
+  private final Clients clients;
+  private final List<Node> nodes = new ArrayList<>();
+  private final List<Gate> gates = new ArrayList<>();
+  private final Map<String, Memory> memories = new LinkedHashMap<>();
+  private final Map<String, List<Node>> missedAt = new LinkedHashMap<>();
+  private final Map<String, Long> faults = new LinkedHashMap<>();
+  private final List<VirtualPipe> listPipes = new ArrayList<>();
+  private final CacheNode.Figures nodeFigures;
+  private Address listAt = new Address("10.2.0.1", 8500);
+  private long listDownUntil;
+  private int incarnations;
+  private int hosts;
+
+  /** A cache node under one name, through all its processes. */
+  private static final class Node {
+    final String host;
+    final Mischief mischief = new Mischief();
+    final int number;
+    final int zones;
+    Address dial;
+    Process process;
+    CacheNode node;
+    long bornMs;
+    boolean going;
+
+    Node(String host, int number, int zones) {
+      this.host = host;
+      this.number = number;
+      this.zones = zones;
+    }
+
+    NodeList.Entry entry(String health) {
+      return new NodeList.Entry(
+          host, dial.toString(), "z" + number % zones, "std", number % CELLS, health, bornMs);
+    }
+  }
+
+  /** A proxy under one name, through all its processes. */
+  private static final class Gate {
+    final int number;
+    Process process;
+    Proxy proxy;
+    long bornAt;
+    boolean serves;
+    boolean leaving;
+    String known;
+    Map<String, String> knownHealth = Map.of();
+    long knownVersion;
+
+    Gate(int number) {
+      this.number = number;
+    }
+
+    Address listen() {
+      return new Address(host(number), 11211);
+    }
+
+    static String host(int number) {
+      return "10." + (GATES_AT + number / GATES_A_NET) + "." + number % GATES_A_NET + ".1";
+    }
+  }
+
+  private Play(Script script, Tamper tamper, Consumer<String> out) {
+    this.script = script;
+    this.tamper = tamper;
+    trace = new Trace(out);
+    net =
+        new VirtualNet(
+            events, chance("net"), (process, bytes) -> trace.mix(events.now(), bytes.hashCode()));
+    referee =
+        new Referee(
+            events,
+            trace,
+            this,
+            new Referee.Figures(
+                SLACK_MS * 1_000_000,
                 GRACE_MS * 1_000_000,
-                MAX_HAND_OFFS, script.group(), script.memoryMs() * 1_000_000,
-                script.sockets()), script.proxies());
-        clientsProcess = process("clients");
-        listProcess = process("list");
-        originProcess = process("origin");
-        list = new NodeList(listProcess, chance("list"), new ToldWitness());
-        list.takes(script.fleet().calls());
-        int slots = Math.max(3, (int) Math.ceil(script.rate() * 0.01 * script.room()));
-        origin = new Origin("origin", originProcess, chance("origin"), referee, originMischief,
-                new Origin.Figures(
-                slots, Duration.ofMillis(25), 64, 200, NODE_IDLE, 2.5, FALL_FOR, Duration.ofSeconds(3),
-                Duration.ofMillis(script.memoryMs())), new Copies());
-        double service = Math.max(0.004, Math.min(0.06, script.nodes() / (script.room() * script.rate())));
-        nodeFigures = new CacheNode.Figures(1, Duration.ofNanos((long) (service * 1e9)), 24,
-                script.fleet().places(), NODE_IDLE,
-                COLD_FROM,
-                COLD_FOR, script.tips(), FALL_FOR, 4096, script.through() ? origin : null);
-        clients = new Clients(clientsProcess, chance("clients"), this::open, referee, script.proxies(),
-                script.fleet().uneven(), offerings(),
-                List.of("one", "two", "three"), script.keys(), script.skew());
-    }
-
-    /** @param out hears every line of what happened; null for none */
-    static Outcome play(Script script, Tamper tamper, Consumer<String> out) {
-        return new Play(script, tamper, out).play();
-    }
-
-    private Random chance(String of) {
-        return new Random(script.seed() * 1_000_003 + of.hashCode());
-    }
-
-    private Process process(String name) {
-        return new Process(name, events, e -> {
-            throw e;
-        });
-    }
-
-    private List<Offering> offerings() {
-        return List.of(
-                new Offering("read", Effect.REISSUABLE, true, ms(1400), ms(600), 0.7),
-                new Offering("hold", Effect.NUMBERED, script.group().equals("all"), ms(900), ms(450), 0.2),
-                new Offering("book", Effect.AT_MOST_ONCE, false, ms(1400), ms(700), 0.1));
-    }
-
-    private static Duration ms(long ms) {
-        return Duration.ofMillis(ms);
-    }
-
-    private Outcome play() {
-        net.listen(ORIGIN, originProcess, end -> takes(end, side -> origin.accept(name(end), side)));
-        listens();
-        if (!script.through()) {
-            list.change(new NodeList.Entry("origin", ORIGIN.toString(), "z0", "origin", 0, "ready", 0));
-        }
-        for (int i = 0; i < script.nodes(); i++) {
-            Node n = newNode();
-            begin(n, false);
-            for (int k = 0; k < script.keys(); k++) {
-                n.node.store("k" + k, 0);
-            }
-            list.change(n.entry("ready"));
-        }
-        for (int i = 0; i < script.proxies(); i++) {
-            Gate g = new Gate(i);
-            gates.add(g);
-            knows(g);
-            begin(g);
-        }
-        habits();
-        clientsProcess.in(ms(300), clients::start);
-        script.faults().forEach(f -> events.at(f.atMs() * 1_000_000, null, () -> strike(f)));
-        events.at(Math.max(0, script.lastsMs() - SERVICE_OVER_MS) * 1_000_000, null, referee::countFromNow);
-        events.at(script.lastsMs() * 1_000_000, null, clients::stop);
-        long end = (script.lastsMs() + SETTLES_MS) * 1_000_000;
-        long steps = 0;
-        while (referee.breach() == null && events.step(end)) {
-            steps++;
-            Process last = events.last();
-            if (last != null && last.name.startsWith("p")) {
-                Gate g = gates.get(Integer.parseInt(last.name.substring(1)));
-                if (g.serves && !last.dead()) {
-                    referee.bounds(g.number, g.proxy.held());
-                }
-            }
-        }
-        if (referee.breach() == null) {
-            gates.stream().filter(g -> g.serves && !g.process.dead())
-                    .forEach(g -> referee.empty(g.number, g.proxy.held()));
-            referee.cameBack(room(), events.now() / 1_000_000 - SETTLES_MS - script.calmFromMs());
-        }
-        Map<String, Long> counts = new LinkedHashMap<>(referee.counts());
-        faults.forEach((kind, count) -> counts.put("fault " + kind, count));
-        return new Outcome(script, referee.breach(), trace.digest(), steps, events.now() / 1_000_000,
-                referee.service(), counts);
-    }
-
-    /** How many times the steady load the nodes bear that are left. */
-    private double room() {
-        long left = nodes.stream().filter(n -> !n.going && !n.process.dead()).count();
-        return script.room() * Math.min(1, (double) left / script.nodes());
-    }
-
-    private void habits() {
-        Clients.Habits h = clients.habits();
-        h.rate = script.rate();
-        h.rude = script.rude();
-        h.stay = script.stay();
-    }
-
-    // Connections.
-
-    private static String name(VirtualPipe end) {
-        String[] parts = end.there().host().split("\\.");
-        return "p" + ((Integer.parseInt(parts[1]) - GATES_AT) * GATES_A_NET + Integer.parseInt(parts[2]));
-    }
-
-    private boolean takes(VirtualPipe end, Function<Side, Talk> accept) {
-        Talk talk = accept.apply(new PipeSide(end));
-        if (talk == null) {
-            return false;
-        }
-        end.reads(talk::came);
-        end.whenOver(over -> talk.over());
-        return true;
-    }
-
-    private void open(int proxy, Function<Side, Talk> up, Runnable refused) {
-        net.dial(clientsProcess, "10.4.0.1", gates.get(proxy).listen(), 1_000_000_000L)
-                .onComplete(end -> takes(end, up), e -> refused.run());
-    }
-
-    private record PipeSide(VirtualPipe end) implements Side {
-        @Override
-        public void write(Buffer bytes) {
-            end.write(bytes);
-        }
-
-        @Override
-        public void close() {
-            end.close();
-        }
-
-        @Override
-        public void reset() {
-            end.reset();
-        }
-
-        @Override
-        public boolean unread() {
-            return end.unreadThere();
-        }
-    }
-
-    /** Reads along on what a proxy sends to a node or the origin. */
-    private void tap(int proxy, VirtualPipe pipe) {
-        String place = pipe.ownerThere().name;
-        referee.opened(place);
-        boolean http = place.equals("origin");
-        if (!http && !place.startsWith("n")) {
-            return;
-        }
-        long[] first = {-1};
-        Consumer<Request> whole = request -> {
-            referee.handedOff(proxy, place, request, first[0]);
-            first[0] = -1;
-        };
-        Requests scan = http ? Requests.http(whole, () -> { }) : Requests.meta(whole, () -> { });
-        pipe.tap(bytes -> {
-            first[0] = first[0] < 0 ? events.now() : first[0];
-            scan.take(bytes);
-        });
-    }
-
-    // Nodes and the origin.
-
-    private final class Copies implements Origin.Copies {
-        @Override
-        public void fetched(Request request, int version) {
-            List<Node> at = missedAt.remove(request.id());
-            if (at != null) {
-                at.stream().filter(n -> !n.process.dead()).forEach(n -> n.node.store(request.key(), version));
-            }
-        }
-
-        @Override
-        public void outdated(String key) {
-            nodes.stream().filter(n -> !n.process.dead()).forEach(n -> n.node.drop(key));
-        }
-    }
-
-    private Node newNode() {
-        Node n = new Node("n" + hosts, hosts++, script.fleet().zones());
-        nodes.add(n);
-        return n;
-    }
-
-    /** A process for this node, at a new address if it has none. */
-    private void begin(Node n, boolean cold) {
-        n.process = process(n.host);
-        n.dial = n.dial == null ? new Address(
-                "10.1." + incarnations % 250 + "." + (1 + incarnations++ / 250), 11211) : n.dial;
-        n.bornMs = cold ? ProxyOutside.EPOCH_MS + events.now() / 1_000_000 : 0;
-        Process own = n.process;
-        String group = switch (script.group()) {
-            case "zone" -> "z" + n.number % n.zones;
-            case "cell" -> "c" + n.number % CELLS;
-            default -> "all";
-        };
-        Memory memory = memories.computeIfAbsent(group, g -> new Memory(ms(script.memoryMs())));
-        n.node = new CacheNode(n.host, own, chance(n.host + incarnations), new NodeWitness(n), n.mischief,
-                nodeFigures,
-                cold ? own.now() : null, memory, () -> {
-                    own.die();
-                    listedLater(n, "gone", 500);
-                });
-        net.listen(n.dial, own, end -> takes(end, side -> n.node.accept(name(end), side)));
-    }
-
-    /** Also notes where reads missed, so that the origin's answer leaves a copy there. */
-    private final class NodeWitness extends ForwardingWitness {
-        private final Node node;
-
-        NodeWitness(Node node) {
-            super(referee);
-            this.node = node;
-        }
-
-        @Override
-        public void missed(String place, Request request, boolean cold) {
-            if (!script.through()) {
-                missedAt.computeIfAbsent(request.id(), id -> new ArrayList<>(1)).add(node);
-            }
-            super.missed(place, request, cold);
-        }
-    }
-
-    private final class ToldWitness extends ForwardingWitness {
-        ToldWitness() {
-            super(referee);
-        }
-
-        @Override
-        public void told(String proxy, String host, String health, long version) {
-            super.told(proxy, host, health, version);
-            if (host.isEmpty() || !health.isEmpty()) {
-                knows(gates.get(Integer.parseInt(proxy.substring(1))));
-            }
-        }
-    }
-
-    private void knows(Gate g) {
-        // Told of each of 200 nodes in turn, it knows no more than by the first.
-        if (g.known != null && g.knownVersion == list.seq()) {
-            return;
-        }
-        g.known = list.whole();
-        g.knownVersion = list.seq();
-        Map<String, String> health = new LinkedHashMap<>();
-        list.entries().forEach(e -> health.put(e.host(), e.health()));
-        g.knownHealth = health;
-    }
-
-    private void listed(Node n, String health) {
-        list.change(n.entry(health));
-        long version = list.seq();
-        changed.put(version, n.entry(health));
-        long since = events.now();
-        gates.forEach(g -> countsAsToldIfDeaf(g, n.entry(health)));
-        if (!health.equals("ready")) {
-            events.in(TOLD_WITHIN.toNanos(), null, () -> gates.forEach(g ->
-                    countsAsTold(g, n.entry(health), version, since)));
-        }
-    }
-
-    /**
-     * Whatever became of its calls: so long after the list service had it and could be reached, by a process
-     * that was there. What has changed back by then nobody can be told any more.
-     */
-    private void countsAsTold(Gate g, NodeList.Entry e, long version, long since) {
-        if (g.process.dead() || !list.says(e.host(), e.health())) {
-            return;
-        }
-        long from = Math.max(since, Math.max(listDownUntil, g.bornAt));
-        long left = from + TOLD_WITHIN.toNanos() - events.now();
-        if (left <= 0) {
-            referee.countsAsTold(g.number, e.host(), e.health(), version);
-        } else if (listDownUntil < Long.MAX_VALUE / 2) {
-            events.in(left, null, () -> countsAsTold(g, e, version, since));
-        }
-    }
-
-    private void listedLater(Node n, String health, long afterMs) {
-        Process then = n.process;
-        events.in(afterMs * 1_000_000, null, () -> {
-            if (n.process == then) {
-                listed(n, health);
-            }
-        });
-    }
-
-    // Proxies.
-
-    private void begin(Gate g) {
-        g.process = new Process("p" + g.number, events, e -> referee.fault(g.number, e));
-        g.bornAt = events.now();
-        g.serves = false;
-        g.leaving = false;
-        Process own = g.process;
-        Config config = Config.read(tamper.config(config(g)).getBytes(StandardCharsets.UTF_8));
-        referee.begins(g.number, g.knownHealth, g.knownVersion);
-        ProxyOutside outside = new ProxyOutside(events, net, own, Gate.host(g.number), PEERS_ALL,
-                referee.watcher(g.number),
-                to -> pipe -> tap(g.number, pipe));
-        g.proxy = new Proxy(tamper.outside(outside, g.number), config, script.warmUp());
-        net.soon(own, () -> g.proxy.start().onComplete(port -> {
-            g.serves = true;
-            clients.serves(g.number);
-            trace.say(events.now(), () -> "p" + g.number + " serves");
-        }, e -> referee.broken(5, "start", "p" + g.number + " does not start: " + e)));
-    }
-
-    private void kill(Gate g) {
-        g.process.die();
-        g.serves = false;
-    }
-
-    private void stop(Gate g, long againMs) {
-        Process own = g.process;
-        g.leaving = true;
-        clients.stops(g.number);
-        events.in(STOP_WITHIN_MS * 1_000_000, null, () -> {
-            if (g.process == own && !own.dead() && own.stoodUntil() < events.now() - 3_000_000_000L) {
-                referee.broken(1, "stop", "p" + g.number + " has not stopped in " + STOP_WITHIN_MS + " ms");
-            }
+                MAX_HAND_OFFS,
+                script.group(),
+                script.memoryMs() * 1_000_000,
+                script.sockets()),
+            script.proxies());
+    clientsProcess = process("clients");
+    listProcess = process("list");
+    originProcess = process("origin");
+    list = new NodeList(listProcess, chance("list"), new ToldWitness());
+    list.takes(script.fleet().calls());
+    int slots = Math.max(3, (int) Math.ceil(script.rate() * 0.01 * script.room()));
+    origin =
+        new Origin(
+            "origin",
+            originProcess,
+            chance("origin"),
+            referee,
+            originMischief,
+            new Origin.Figures(
+                slots,
+                Duration.ofMillis(25),
+                64,
+                200,
+                NODE_IDLE,
+                2.5,
+                FALL_FOR,
+                Duration.ofSeconds(3),
+                Duration.ofMillis(script.memoryMs())),
+            new Copies());
+    double service =
+        Math.max(0.004, Math.min(0.06, script.nodes() / (script.room() * script.rate())));
+    nodeFigures =
+        new CacheNode.Figures(
+            1,
+            Duration.ofNanos((long) (service * 1e9)),
+            24,
+            script.fleet().places(),
+            NODE_IDLE,
+            COLD_FROM,
+            COLD_FOR,
+            script.tips(),
+            FALL_FOR,
+            4096,
+            script.through() ? origin : null);
+    clients =
+        new Clients(
+            clientsProcess,
+            chance("clients"),
+            this::open,
+            referee,
+            script.proxies(),
+            script.fleet().uneven(),
+            offerings(),
+            List.of("one", "two", "three"),
+            script.keys(),
+            script.skew());
+  }
+
+  /**
+   * @param out hears every line of what happened; null for none
+   */
+  static Outcome play(Script script, Tamper tamper, Consumer<String> out) {
+    return new Play(script, tamper, out).play();
+  }
+
+  private Random chance(String of) {
+    return new Random(script.seed() * 1_000_003 + of.hashCode());
+  }
+
+  private Process process(String name) {
+    return new Process(
+        name,
+        events,
+        e -> {
+          throw e;
         });
-        net.soon(own, () -> g.proxy.stop().onSuccess(done -> events.at(events.now(), null, () -> {
-            if (g.process != own || own.dead()) {
-                return;
-            }
-            trace.say(events.now(), () -> "p" + g.number + " has stopped");
-            kill(g);
-            events.in(againMs * 1_000_000, null, () -> begin(g));
-        })));
-    }
-
-    private String config(Gate g) {
-        StringBuilder peers = new StringBuilder();
-        for (int i = 0; i < script.proxies(); i++) {
-            peers.append(i == 0 ? "" : ",").append("\"").append(Gate.host(i)).append(":7946\"");
-        }
-        StringBuilder zones = new StringBuilder();
-        for (int i = 0; i < script.fleet().zones(); i++) {
-            zones.append(i == 0 ? "" : ",").append("\"z").append(i).append('"');
-        }
-        double quota = script.rate() * 0.6;
-        return String.format(Locale.ROOT,
-                "{\"name\":\"p%d\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\","
-                + "\"limits\":{\"sockets\":%d},"
-                + "\"peer_listen\":\"%s:7946\",\"peers\":[%s],\"peers_all\":\"%s\","
-                + "\"known\":%s,\"settings\":{\"instances\":%d,\"zones\":[%s],"
-                + "\"hostTypes\":[\"std\",\"origin\"],\"familyInfo\":{\"mode\":\"%s\",\"originKind\":%d},"
-                + "\"customers\":[{\"name\":\"one\",\"quotaPerS\":%f},{\"name\":\"two\",\"quotaPerS\":%f},"
-                + "{\"name\":\"three\",\"quotaPerS\":%f}],\"offerings\":[%s,%s,%s],"
-                + "\"ceilings\":{\"maxHandOffs\":%d,\"mayDuplicate\":true,\"cancel\":true,\"peers\":true,"
-                + "\"retryAfter\":true,\"maxRetryAfterNs\":300000000,"
-                + "\"connIdleNs\":%d,\"connectTimeoutNs\":75000000},"
-                + "\"registryMode\":\"ask\",\"stepNs\":2000000,\"obligations\":{\"askWithinNs\":%d,"
-                + "\"coldFrom\":%f,\"coldNs\":%d,\"tipMultiple\":%f,\"fallNs\":%d,\"answerSlackNs\":%d}}}",
-                g.number, g.listen(), listAt, script.seed() * 31 + g.number + events.now(), script.sockets(),
-                        Gate.host(g.number),
-                peers, PEERS_ALL, g.known, script.proxies(), zones, script.through() ? "through" : "aside",
-                script.through() ? -1 : 1, quota, quota, quota, offering("read", "free", 400, 1400),
-                offering("hold", "guarded", 150, 900), offering("book", "single_shot", 400, 1400),
-                        MAX_HAND_OFFS,
-                NODE_IDLE.toNanos(), ASK_WITHIN.toNanos(), COLD_FROM, COLD_FOR.toNanos(), script.tips(),
-                FALL_FOR.toNanos(),
-                SLACK_MS * 1_000_000);
-    }
-
-    private String offering(String name, String effect, long goalMs, long limitMs) {
-        return "{\"name\":\"" + name + "\",\"effect\":\"" + effect + "\",\"dedupScope\":\"" + script.group()
-                + "\",\"keyTtlNs\":" + script.memoryMs() + "000000,\"latencyGoalNs\":" + goalMs
-                + "000000,\"outerLimitNs\":" + limitMs + "000000,\"earnings\":1.0,\"tardyEarnings\":0.5}";
-    }
-
-    @Override
-    public long bornAt(int proxy) {
-        return gates.get(proxy).bornAt;
-    }
-
-    @Override
-    public long stoodUntil(int proxy) {
-        return gates.get(proxy).process.stoodUntil();
-    }
-
+  }
+
+  private List<Offering> offerings() {
+    return List.of(
+        new Offering("read", Effect.REISSUABLE, true, ms(1400), ms(600), 0.7),
+        new Offering("hold", Effect.NUMBERED, script.group().equals("all"), ms(900), ms(450), 0.2),
+        new Offering("book", Effect.AT_MOST_ONCE, false, ms(1400), ms(700), 0.1));
+  }
+
+  private static Duration ms(long ms) {
+    return Duration.ofMillis(ms);
+  }
+
+  private Outcome play() {
+    net.listen(ORIGIN, originProcess, end -> takes(end, side -> origin.accept(name(end), side)));
+    listens();
+    if (!script.through()) {
+      list.change(new NodeList.Entry("origin", ORIGIN.toString(), "z0", "origin", 0, "ready", 0));
+    }
+    for (int i = 0; i < script.nodes(); i++) {
+      Node n = newNode();
+      begin(n, false);
+      for (int k = 0; k < script.keys(); k++) {
+        n.node.store("k" + k, 0);
+      }
+      list.change(n.entry("ready"));
+    }
+    for (int i = 0; i < script.proxies(); i++) {
+      Gate g = new Gate(i);
+      gates.add(g);
+      knows(g);
+      begin(g);
+    }
+    habits();
+    clientsProcess.in(ms(300), clients::start);
+    script.faults().forEach(f -> events.at(f.atMs() * 1_000_000, null, () -> strike(f)));
+    events.at(
+        Math.max(0, script.lastsMs() - SERVICE_OVER_MS) * 1_000_000, null, referee::countFromNow);
+    events.at(script.lastsMs() * 1_000_000, null, clients::stop);
+    long end = (script.lastsMs() + SETTLES_MS) * 1_000_000;
+    long steps = 0;
+    while (referee.breach() == null && events.step(end)) {
+      steps++;
+      Process last = events.last();
+      if (last != null && last.name.startsWith("p")) {
+        Gate g = gates.get(Integer.parseInt(last.name.substring(1)));
+        if (g.serves && !last.dead()) {
+          referee.bounds(g.number, g.proxy.held());
+        }
+      }
+    }
+    if (referee.breach() == null) {
+      gates.stream()
+          .filter(g -> g.serves && !g.process.dead())
+          .forEach(g -> referee.empty(g.number, g.proxy.held()));
+      referee.cameBack(room(), events.now() / 1_000_000 - SETTLES_MS - script.calmFromMs());
+    }
+    Map<String, Long> counts = new LinkedHashMap<>(referee.counts());
+    faults.forEach((kind, count) -> counts.put("fault " + kind, count));
+    return new Outcome(
+        script,
+        referee.breach(),
+        trace.digest(),
+        steps,
+        events.now() / 1_000_000,
+        referee.service(),
+        counts);
+  }
+
+  /** How many times the steady load the nodes bear that are left. */
+  private double room() {
+    long left = nodes.stream().filter(n -> !n.going && !n.process.dead()).count();
+    return script.room() * Math.min(1, (double) left / script.nodes());
+  }
+
+  private void habits() {
+    Clients.Habits h = clients.habits();
+    h.rate = script.rate();
+    h.rude = script.rude();
+    h.stay = script.stay();
+  }
+
+  // Connections.
+
+  private static String name(VirtualPipe end) {
+    String[] parts = end.there().host().split("\\.");
+    return "p"
+        + ((Integer.parseInt(parts[1]) - GATES_AT) * GATES_A_NET + Integer.parseInt(parts[2]));
+  }
+
+  private boolean takes(VirtualPipe end, Function<Side, Talk> accept) {
+    Talk talk = accept.apply(new PipeSide(end));
+    if (talk == null) {
+      return false;
+    }
+    end.reads(talk::came);
+    end.whenOver(over -> talk.over());
+    return true;
+  }
+
+  private void open(int proxy, Function<Side, Talk> up, Runnable refused) {
+    net.dial(clientsProcess, "10.4.0.1", gates.get(proxy).listen(), 1_000_000_000L)
+        .onComplete(end -> takes(end, up), e -> refused.run());
+  }
+
+  private record PipeSide(VirtualPipe end) implements Side {
     @Override
-    public boolean dead(int proxy) {
-        return gates.get(proxy).process.dead();
+    public void write(Buffer bytes) {
+      end.write(bytes);
     }
 
     @Override
-    public int zone(String place) {
-        return place.startsWith("n") ? Integer.parseInt(place.substring(1)) % script.fleet().zones() : 0;
+    public void close() {
+      end.close();
     }
 
     @Override
-    public boolean cold(String place) {
-        return place.startsWith("n") && nodes.get(Integer.parseInt(place.substring(1))).node.cold();
+    public void reset() {
+      end.reset();
     }
 
     @Override
-    public int cell(String place) {
-        return place.startsWith("n") ? Integer.parseInt(place.substring(1)) % CELLS : 0;
-    }
-
-    // The list.
-
-    private void listens() {
-        net.listen(listAt, listProcess, end -> takes(end, side -> {
-            listPipes.add(end);
-            return list.accept(name(end), side);
-        }));
-    }
-
-    private void hangUp() {
-        net.deaf(listAt);
-        listAt = new Address("10.2.0." + (listAt.host().endsWith(".1") ? 2 : 1), 8500);
-        List<VirtualPipe> old = List.copyOf(listPipes);
-        listPipes.clear();
-        listens();
-        events.in(1_500_000_000L, null, () -> old.forEach(VirtualPipe::close));
-        gates.stream().filter(g -> g.serves && !g.leaving).forEach(g -> {
-            Config read = Config.read(config(g).getBytes(StandardCharsets.UTF_8));
-            net.soon(g.process, () -> g.proxy.readAgain(read));
+    public boolean unread() {
+      return end.unreadThere();
+    }
+  }
+
+  /** Reads along on what a proxy sends to a node or the origin. */
+  private void tap(int proxy, VirtualPipe pipe) {
+    String place = pipe.ownerThere().name;
+    referee.opened(place);
+    boolean http = place.equals("origin");
+    if (!http && !place.startsWith("n")) {
+      return;
+    }
+    long[] first = {-1};
+    Consumer<Request> whole =
+        request -> {
+          referee.handedOff(proxy, place, request, first[0]);
+          first[0] = -1;
+        };
+    Requests scan = http ? Requests.http(whole, () -> {}) : Requests.meta(whole, () -> {});
+    pipe.tap(
+        bytes -> {
+          first[0] = first[0] < 0 ? events.now() : first[0];
+          scan.take(bytes);
         });
-    }
-
-    // Troubles.
-
-    private boolean spare() {
-        return nodes.stream().filter(n -> !n.going && !n.process.dead()).count() > Math.max(1,
-                script.nodes() / 2);
-    }
-
-    private void strike(Fault f) {
-        trace.mix(events.now(), f.kind().ordinal());
-        trace.say(events.now(), f::toString);
-        faults.merge(f.kind().word(), 1L, Long::sum);
-        Node n = f.kind().on == Fault.On.NODE ? nodes.get(f.target() % script.nodes()) : null;
-        Gate g = f.kind().on == Fault.On.PROXY ? gates.get(f.target() % gates.size()) : null;
-        Clients.Habits h = clients.habits();
-        switch (f.kind()) {
-            case DIES, MOVES -> die(n, f);
-            case FREEZES -> n.process.standStill(events.now() + f.forMs() * 1_000_000);
-            case VANISHES -> vanish(n, f);
-            case SLOW -> during(f, () -> n.mischief.slower = f.by(), () -> n.mischief.slower = 1);
-            case DRAINS -> drain(n);
-            case FLUSHED -> n.node.flush();
-            case CUTS -> {
-                Process to = n.process;
-                during(f, () -> net.cutsBefore(to, f.by()), () -> net.cutsBefore(to, 0));
-            }
-            case CONNECTS_LATE -> {
-                Process to = n.process;
-                during(f, () -> net.connectsLate(to, (long) (f.by() * 1e6)), () -> net.connectsLate(to, 0));
-            }
-            case RESETS -> during(f, () -> n.mischief.resets = f.by(), () -> n.mischief.resets = 0);
-            case CLOSES -> during(f, () -> n.mischief.closes = f.by(), () -> n.mischief.closes = 0);
-            case SPOILS -> during(f, () -> n.mischief.spoils = f.by(), () -> n.mischief.spoils = 0);
-            case BABBLES -> during(f, () -> n.mischief.extra = f.by(), () -> n.mischief.extra = 0);
-            case FAILS -> during(f, () -> n.mischief.fails = f.by(), () -> n.mischief.fails = 0);
-            case BUSY -> during(f, () -> n.mischief.busy = f.by(), () -> n.mischief.busy = 0);
-            case GROWS -> grow();
-            case DEPLOY -> deploy(f);
-            case ORIGIN_SLOW -> during(f, () -> originMischief.slower = f.by(), () ->
-                    originMischief.slower = 1);
-            case ORIGIN_FAILS -> during(f, () -> originMischief.fails = f.by(), () ->
-                    originMischief.fails = 0);
-            case ORIGIN_SPOILS -> during(f, () -> originMischief.spoils = f.by(), () ->
-                    originMischief.spoils = 0);
-            case ORIGIN_RESETS -> during(f, () -> originMischief.resets = f.by(), () ->
-                    originMischief.resets = 0);
-            case LIST_LATE -> during(f, () -> list.late(ms((long) f.by())), () -> list.late(Duration.ZERO));
-            case LIST_DOWN -> down(f);
-            case LIST_REFUSES -> during(f, () -> list.refuses(f.by()), () -> list.refuses(0));
-            case LIST_ENDS -> list.endWatches();
-            case LIST_SILENT -> silent(f.by());
-            case LIST_DRAINS -> listDrains(f);
-            case PEERS_LOSE -> during(f, () -> net.datagrams(f.by(), 0), () -> net.datagrams(0, 0));
-            case PEERS_LATE -> during(f, () -> net.datagrams(0, (long) (f.by() * 1e6)), () ->
-                    net.datagrams(0, 0));
-            case KILLED -> {
-                if (!g.process.dead()) {
-                    restart(g, f.forMs());
-                }
-            }
-            case STOPPED -> {
-                if (g.serves && !g.leaving) {
-                    stop(g, Math.max(1, f.forMs()));
-                }
-            }
-            case STANDS_STILL -> g.process.standStill(events.now() + f.forMs() * 1_000_000);
-            case HANGUP -> hangUp();
-            case BURST -> during(f, () -> h.rate = script.rate() * f.by(), () -> h.rate = script.rate());
-            case HOT -> during(f, () -> h.hot = f.by(), () -> h.hot = 0);
-            case GREED -> during(f, () -> h.greed = f.by(), () -> h.greed = 1);
-            case LEAVE -> during(f, () -> h.leaves = f.by(), () -> h.leaves = 0);
-            case RESTART -> gates.stream().limit((long) (gates.size() * Math.min(1, f.by())))
-                    .filter(gate -> !gate.process.dead()).forEach(gate -> restart(gate, f.forMs()));
-            case ZONE_LOST -> zone(f).forEach(node -> die(node, f));
-            case ZONE_SILENT -> zone(f).forEach(node -> vanish(node, f));
-        }
-    }
+  }
 
-    /**
-     * What a silent watch misses counts as told so long after it fell silent: all of it, whenever it changed,
-     * and also for a proxy that has asked and was turned away.
-     */
-    private void silent(double share) {
-        list.silenceWatches(share);
-        events.in(TOLD_WITHIN.toNanos(), null, () -> gates.forEach(g -> changed.values().forEach(e -> {
-            if (list.says(e.host(), e.health())) {
-                countsAsToldIfDeaf(g, e);
-            }
-        })));
-    }
+  // Nodes and the origin.
 
-    private void countsAsToldIfDeaf(Gate g, NodeList.Entry e) {
-        Duration since = list.deafSince("p" + g.number);
-        if (since != null && !g.process.dead() && g.bornAt < since.toNanos()
-                && since.plus(TOLD_WITHIN).toNanos() <= events.now()) {
-            referee.countsAsTold(g.number, e.host(), e.health(), list.seq());
-        }
+  private final class Copies implements Origin.Copies {
+    @Override
+    public void fetched(Request request, int version) {
+      List<Node> at = missedAt.remove(request.id());
+      if (at != null) {
+        at.stream()
+            .filter(n -> !n.process.dead())
+            .forEach(n -> n.node.store(request.key(), version));
+      }
     }
 
-    private void listDrains(Fault f) {
-        List<Node> up = nodes.stream().filter(n -> !n.going && !n.process.dead()).toList();
-        int count = (int) Math.ceil(up.size() * Math.min(1, f.by()));
-        for (int i = 0; i < count; i++) {
-            Node n = up.get(i);
-            events.in(i * 1_000_000_000L / count, null, () -> {
-                n.going = true;
-                listed(n, "draining");
+    @Override
+    public void outdated(String key) {
+      nodes.stream().filter(n -> !n.process.dead()).forEach(n -> n.node.drop(key));
+    }
+  }
+
+  private Node newNode() {
+    Node n = new Node("n" + hosts, hosts++, script.fleet().zones());
+    nodes.add(n);
+    return n;
+  }
+
+  /** A process for this node, at a new address if it has none. */
+  private void begin(Node n, boolean cold) {
+    n.process = process(n.host);
+    n.dial =
+        n.dial == null
+            ? new Address("10.1." + incarnations % 250 + "." + (1 + incarnations++ / 250), 11211)
+            : n.dial;
+    n.bornMs = cold ? ProxyOutside.EPOCH_MS + events.now() / 1_000_000 : 0;
+    Process own = n.process;
+    String group =
+        switch (script.group()) {
+          case "zone" -> "z" + n.number % n.zones;
+          case "cell" -> "c" + n.number % CELLS;
+          default -> "all";
+        };
+    Memory memory = memories.computeIfAbsent(group, g -> new Memory(ms(script.memoryMs())));
+    n.node =
+        new CacheNode(
+            n.host,
+            own,
+            chance(n.host + incarnations),
+            new NodeWitness(n),
+            n.mischief,
+            nodeFigures,
+            cold ? own.now() : null,
+            memory,
+            () -> {
+              own.die();
+              listedLater(n, "gone", 500);
             });
-        }
-    }
+    net.listen(n.dial, own, end -> takes(end, side -> n.node.accept(name(end), side)));
+  }
 
-    private void restart(Gate g, long againMs) {
-        kill(g);
-        events.in(Math.max(1, againMs) * 1_000_000, null, () -> begin(g));
-    }
+  /** Also notes where reads missed, so that the origin's answer leaves a copy there. */
+  private final class NodeWitness extends ForwardingWitness {
+    private final Node node;
 
-    private List<Node> zone(Fault f) {
-        return nodes.stream().filter(n -> n.number % n.zones == (int) f.by() % n.zones).toList();
+    NodeWitness(Node node) {
+      super(referee);
+      this.node = node;
     }
 
-    private void during(Fault f, Runnable begins, Runnable ends) {
-        begins.run();
-        if (f.forMs() > 0) {
-            events.in(f.forMs() * 1_000_000, null, ends);
-        }
+    @Override
+    public void missed(String place, Request request, boolean cold) {
+      if (!script.through()) {
+        missedAt.computeIfAbsent(request.id(), id -> new ArrayList<>(1)).add(node);
+      }
+      super.missed(place, request, cold);
     }
+  }
 
-    /** It turns nobody away meanwhile: it cannot be reached. */
-    private void down(Fault f) {
-        listDownUntil = f.forMs() == 0 ? Long.MAX_VALUE / 2
-                : Math.max(listDownUntil, events.now() + f.forMs() * 1_000_000);
-        during(f, () -> list.down(true), () -> list.down(false));
+  private final class ToldWitness extends ForwardingWitness {
+    ToldWitness() {
+      super(referee);
     }
 
-    private void die(Node n, Fault f) {
-        if (n.process.dead() || n.going || f.forMs() == 0 && !spare()) {
-            return;
-        }
-        Process was = n.process;
-        was.die();
-        listedLater(n, "gone", 300 + f.atMs() % 1000);
-        if (f.forMs() > 0) {
-            events.in(f.forMs() * 1_000_000, null, () -> {
-                if (n.process == was) {
-                    n.dial = f.kind() == Kind.MOVES ? null : n.dial;
-                    begin(n, true);
-                    listed(n, "ready");
-                }
+    @Override
+    public void told(String proxy, String host, String health, long version) {
+      super.told(proxy, host, health, version);
+      if (host.isEmpty() || !health.isEmpty()) {
+        knows(gates.get(Integer.parseInt(proxy.substring(1))));
+      }
+    }
+  }
+
+  private void knows(Gate g) {
+    // Told of each of 200 nodes in turn, it knows no more than by the first.
+    if (g.known != null && g.knownVersion == list.seq()) {
+      return;
+    }
+    g.known = list.whole();
+    g.knownVersion = list.seq();
+    Map<String, String> health = new LinkedHashMap<>();
+    list.entries().forEach(e -> health.put(e.host(), e.health()));
+    g.knownHealth = health;
+  }
+
+  private void listed(Node n, String health) {
+    list.change(n.entry(health));
+    long version = list.seq();
+    changed.put(version, n.entry(health));
+    long since = events.now();
+    gates.forEach(g -> countsAsToldIfDeaf(g, n.entry(health)));
+    if (!health.equals("ready")) {
+      events.in(
+          TOLD_WITHIN.toNanos(),
+          null,
+          () -> gates.forEach(g -> countsAsTold(g, n.entry(health), version, since)));
+    }
+  }
+
+  /**
+   * Whatever became of its calls: so long after the list service had it and could be reached, by a
+   * process that was there. What has changed back by then nobody can be told any more.
+   */
+  private void countsAsTold(Gate g, NodeList.Entry e, long version, long since) {
+    if (g.process.dead() || !list.says(e.host(), e.health())) {
+      return;
+    }
+    long from = Math.max(since, Math.max(listDownUntil, g.bornAt));
+    long left = from + TOLD_WITHIN.toNanos() - events.now();
+    if (left <= 0) {
+      referee.countsAsTold(g.number, e.host(), e.health(), version);
+    } else if (listDownUntil < Long.MAX_VALUE / 2) {
+      events.in(left, null, () -> countsAsTold(g, e, version, since));
+    }
+  }
+
+  private void listedLater(Node n, String health, long afterMs) {
+    Process then = n.process;
+    events.in(
+        afterMs * 1_000_000,
+        null,
+        () -> {
+          if (n.process == then) {
+            listed(n, health);
+          }
+        });
+  }
+
+  // Proxies.
+
+  private void begin(Gate g) {
+    g.process = new Process("p" + g.number, events, e -> referee.fault(g.number, e));
+    g.bornAt = events.now();
+    g.serves = false;
+    g.leaving = false;
+    Process own = g.process;
+    Config config = Config.read(tamper.config(config(g)).getBytes(StandardCharsets.UTF_8));
+    referee.begins(g.number, g.knownHealth, g.knownVersion);
+    ProxyOutside outside =
+        new ProxyOutside(
+            events,
+            net,
+            own,
+            Gate.host(g.number),
+            PEERS_ALL,
+            referee.watcher(g.number),
+            to -> pipe -> tap(g.number, pipe));
+    g.proxy = new Proxy(tamper.outside(outside, g.number), config, script.warmUp());
+    net.soon(
+        own,
+        () ->
+            g.proxy
+                .start()
+                .onComplete(
+                    port -> {
+                      g.serves = true;
+                      clients.serves(g.number);
+                      trace.say(events.now(), () -> "p" + g.number + " serves");
+                    },
+                    e -> referee.broken(5, "start", "p" + g.number + " does not start: " + e)));
+  }
+
+  private void kill(Gate g) {
+    g.process.die();
+    g.serves = false;
+  }
+
+  private void stop(Gate g, long againMs) {
+    Process own = g.process;
+    g.leaving = true;
+    clients.stops(g.number);
+    events.in(
+        STOP_WITHIN_MS * 1_000_000,
+        null,
+        () -> {
+          if (g.process == own && !own.dead() && own.stoodUntil() < events.now() - 3_000_000_000L) {
+            referee.broken(
+                1, "stop", "p" + g.number + " has not stopped in " + STOP_WITHIN_MS + " ms");
+          }
+        });
+    net.soon(
+        own,
+        () ->
+            g.proxy
+                .stop()
+                .onSuccess(
+                    done ->
+                        events.at(
+                            events.now(),
+                            null,
+                            () -> {
+                              if (g.process != own || own.dead()) {
+                                return;
+                              }
+                              trace.say(events.now(), () -> "p" + g.number + " has stopped");
+                              kill(g);
+                              events.in(againMs * 1_000_000, null, () -> begin(g));
+                            })));
+  }
+
+  private String config(Gate g) {
+    StringBuilder peers = new StringBuilder();
+    for (int i = 0; i < script.proxies(); i++) {
+      peers.append(i == 0 ? "" : ",").append("\"").append(Gate.host(i)).append(":7946\"");
+    }
+    StringBuilder zones = new StringBuilder();
+    for (int i = 0; i < script.fleet().zones(); i++) {
+      zones.append(i == 0 ? "" : ",").append("\"z").append(i).append('"');
+    }
+    double quota = script.rate() * 0.6;
+    return String.format(
+        Locale.ROOT,
+        "{\"name\":\"p%d\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\","
+            + "\"limits\":{\"sockets\":%d},"
+            + "\"peer_listen\":\"%s:7946\",\"peers\":[%s],\"peers_all\":\"%s\","
+            + "\"known\":%s,\"settings\":{\"instances\":%d,\"zones\":[%s],"
+            + "\"hostTypes\":[\"std\",\"origin\"],\"familyInfo\":{\"mode\":\"%s\",\"originKind\":%d},"
+            + "\"customers\":[{\"name\":\"one\",\"quotaPerS\":%f},{\"name\":\"two\",\"quotaPerS\":%f},"
+            + "{\"name\":\"three\",\"quotaPerS\":%f}],\"offerings\":[%s,%s,%s],"
+            + "\"ceilings\":{\"maxHandOffs\":%d,\"mayDuplicate\":true,\"cancel\":true,\"peers\":true,"
+            + "\"retryAfter\":true,\"maxRetryAfterNs\":300000000,"
+            + "\"connIdleNs\":%d,\"connectTimeoutNs\":75000000},"
+            + "\"registryMode\":\"ask\",\"stepNs\":2000000,\"obligations\":{\"askWithinNs\":%d,"
+            + "\"coldFrom\":%f,\"coldNs\":%d,\"tipMultiple\":%f,\"fallNs\":%d,\"answerSlackNs\":%d}}}",
+        g.number,
+        g.listen(),
+        listAt,
+        script.seed() * 31 + g.number + events.now(),
+        script.sockets(),
+        Gate.host(g.number),
+        peers,
+        PEERS_ALL,
+        g.known,
+        script.proxies(),
+        zones,
+        script.through() ? "through" : "aside",
+        script.through() ? -1 : 1,
+        quota,
+        quota,
+        quota,
+        offering("read", "free", 400, 1400),
+        offering("hold", "guarded", 150, 900),
+        offering("book", "single_shot", 400, 1400),
+        MAX_HAND_OFFS,
+        NODE_IDLE.toNanos(),
+        ASK_WITHIN.toNanos(),
+        COLD_FROM,
+        COLD_FOR.toNanos(),
+        script.tips(),
+        FALL_FOR.toNanos(),
+        SLACK_MS * 1_000_000);
+  }
+
+  private String offering(String name, String effect, long goalMs, long limitMs) {
+    return "{\"name\":\""
+        + name
+        + "\",\"effect\":\""
+        + effect
+        + "\",\"dedupScope\":\""
+        + script.group()
+        + "\",\"keyTtlNs\":"
+        + script.memoryMs()
+        + "000000,\"latencyGoalNs\":"
+        + goalMs
+        + "000000,\"outerLimitNs\":"
+        + limitMs
+        + "000000,\"earnings\":1.0,\"tardyEarnings\":0.5}";
+  }
+
+  @Override
+  public long bornAt(int proxy) {
+    return gates.get(proxy).bornAt;
+  }
+
+  @Override
+  public long stoodUntil(int proxy) {
+    return gates.get(proxy).process.stoodUntil();
+  }
+
+  @Override
+  public boolean dead(int proxy) {
+    return gates.get(proxy).process.dead();
+  }
+
+  @Override
+  public int zone(String place) {
+    return place.startsWith("n")
+        ? Integer.parseInt(place.substring(1)) % script.fleet().zones()
+        : 0;
+  }
+
+  @Override
+  public boolean cold(String place) {
+    return place.startsWith("n") && nodes.get(Integer.parseInt(place.substring(1))).node.cold();
+  }
+
+  @Override
+  public int cell(String place) {
+    return place.startsWith("n") ? Integer.parseInt(place.substring(1)) % CELLS : 0;
+  }
+
+  // The list.
+
+  private void listens() {
+    net.listen(
+        listAt,
+        listProcess,
+        end ->
+            takes(
+                end,
+                side -> {
+                  listPipes.add(end);
+                  return list.accept(name(end), side);
+                }));
+  }
+
+  private void hangUp() {
+    net.deaf(listAt);
+    listAt = new Address("10.2.0." + (listAt.host().endsWith(".1") ? 2 : 1), 8500);
+    List<VirtualPipe> old = List.copyOf(listPipes);
+    listPipes.clear();
+    listens();
+    events.in(1_500_000_000L, null, () -> old.forEach(VirtualPipe::close));
+    gates.stream()
+        .filter(g -> g.serves && !g.leaving)
+        .forEach(
+            g -> {
+              Config read = Config.read(config(g).getBytes(StandardCharsets.UTF_8));
+              net.soon(g.process, () -> g.proxy.readAgain(read));
             });
-        }
-    }
-
-    private void vanish(Node n, Fault f) {
-        Process was = n.process;
-        if (was.dead() || n.going || f.forMs() == 0) {
-            return;
-        }
-        was.cutOff(true);
-        boolean[] back = {false};
-        events.in(1_000_000_000L, null, () -> {
-            if (!back[0] && n.process == was && !n.going) {
-                listed(n, "gone");
+  }
+
+  // Troubles.
+
+  private boolean spare() {
+    return nodes.stream().filter(n -> !n.going && !n.process.dead()).count()
+        > Math.max(1, script.nodes() / 2);
+  }
+
+  private void strike(Fault f) {
+    trace.mix(events.now(), f.kind().ordinal());
+    trace.say(events.now(), f::toString);
+    faults.merge(f.kind().word(), 1L, Long::sum);
+    Node n = f.kind().on == Fault.On.NODE ? nodes.get(f.target() % script.nodes()) : null;
+    Gate g = f.kind().on == Fault.On.PROXY ? gates.get(f.target() % gates.size()) : null;
+    Clients.Habits h = clients.habits();
+    switch (f.kind()) {
+      case DIES, MOVES -> die(n, f);
+      case FREEZES -> n.process.standStill(events.now() + f.forMs() * 1_000_000);
+      case VANISHES -> vanish(n, f);
+      case SLOW -> during(f, () -> n.mischief.slower = f.by(), () -> n.mischief.slower = 1);
+      case DRAINS -> drain(n);
+      case FLUSHED -> n.node.flush();
+      case CUTS -> {
+        Process to = n.process;
+        during(f, () -> net.cutsBefore(to, f.by()), () -> net.cutsBefore(to, 0));
+      }
+      case CONNECTS_LATE -> {
+        Process to = n.process;
+        during(f, () -> net.connectsLate(to, (long) (f.by() * 1e6)), () -> net.connectsLate(to, 0));
+      }
+      case RESETS -> during(f, () -> n.mischief.resets = f.by(), () -> n.mischief.resets = 0);
+      case CLOSES -> during(f, () -> n.mischief.closes = f.by(), () -> n.mischief.closes = 0);
+      case SPOILS -> during(f, () -> n.mischief.spoils = f.by(), () -> n.mischief.spoils = 0);
+      case BABBLES -> during(f, () -> n.mischief.extra = f.by(), () -> n.mischief.extra = 0);
+      case FAILS -> during(f, () -> n.mischief.fails = f.by(), () -> n.mischief.fails = 0);
+      case BUSY -> during(f, () -> n.mischief.busy = f.by(), () -> n.mischief.busy = 0);
+      case GROWS -> grow();
+      case DEPLOY -> deploy(f);
+      case ORIGIN_SLOW ->
+          during(f, () -> originMischief.slower = f.by(), () -> originMischief.slower = 1);
+      case ORIGIN_FAILS ->
+          during(f, () -> originMischief.fails = f.by(), () -> originMischief.fails = 0);
+      case ORIGIN_SPOILS ->
+          during(f, () -> originMischief.spoils = f.by(), () -> originMischief.spoils = 0);
+      case ORIGIN_RESETS ->
+          during(f, () -> originMischief.resets = f.by(), () -> originMischief.resets = 0);
+      case LIST_LATE ->
+          during(f, () -> list.late(ms((long) f.by())), () -> list.late(Duration.ZERO));
+      case LIST_DOWN -> down(f);
+      case LIST_REFUSES -> during(f, () -> list.refuses(f.by()), () -> list.refuses(0));
+      case LIST_ENDS -> list.endWatches();
+      case LIST_SILENT -> silent(f.by());
+      case LIST_DRAINS -> listDrains(f);
+      case PEERS_LOSE -> during(f, () -> net.datagrams(f.by(), 0), () -> net.datagrams(0, 0));
+      case PEERS_LATE ->
+          during(f, () -> net.datagrams(0, (long) (f.by() * 1e6)), () -> net.datagrams(0, 0));
+      case KILLED -> {
+        if (!g.process.dead()) {
+          restart(g, f.forMs());
+        }
+      }
+      case STOPPED -> {
+        if (g.serves && !g.leaving) {
+          stop(g, Math.max(1, f.forMs()));
+        }
+      }
+      case STANDS_STILL -> g.process.standStill(events.now() + f.forMs() * 1_000_000);
+      case HANGUP -> hangUp();
+      case BURST -> during(f, () -> h.rate = script.rate() * f.by(), () -> h.rate = script.rate());
+      case HOT -> during(f, () -> h.hot = f.by(), () -> h.hot = 0);
+      case GREED -> during(f, () -> h.greed = f.by(), () -> h.greed = 1);
+      case LEAVE -> during(f, () -> h.leaves = f.by(), () -> h.leaves = 0);
+      case RESTART ->
+          gates.stream()
+              .limit((long) (gates.size() * Math.min(1, f.by())))
+              .filter(gate -> !gate.process.dead())
+              .forEach(gate -> restart(gate, f.forMs()));
+      case ZONE_LOST -> zone(f).forEach(node -> die(node, f));
+      case ZONE_SILENT -> zone(f).forEach(node -> vanish(node, f));
+    }
+  }
+
+  /**
+   * What a silent watch misses counts as told so long after it fell silent: all of it, whenever it
+   * changed, and also for a proxy that has asked and was turned away.
+   */
+  private void silent(double share) {
+    list.silenceWatches(share);
+    events.in(
+        TOLD_WITHIN.toNanos(),
+        null,
+        () ->
+            gates.forEach(
+                g ->
+                    changed
+                        .values()
+                        .forEach(
+                            e -> {
+                              if (list.says(e.host(), e.health())) {
+                                countsAsToldIfDeaf(g, e);
+                              }
+                            })));
+  }
+
+  private void countsAsToldIfDeaf(Gate g, NodeList.Entry e) {
+    Duration since = list.deafSince("p" + g.number);
+    if (since != null
+        && !g.process.dead()
+        && g.bornAt < since.toNanos()
+        && since.plus(TOLD_WITHIN).toNanos() <= events.now()) {
+      referee.countsAsTold(g.number, e.host(), e.health(), list.seq());
+    }
+  }
+
+  private void listDrains(Fault f) {
+    List<Node> up = nodes.stream().filter(n -> !n.going && !n.process.dead()).toList();
+    int count = (int) Math.ceil(up.size() * Math.min(1, f.by()));
+    for (int i = 0; i < count; i++) {
+      Node n = up.get(i);
+      events.in(
+          i * 1_000_000_000L / count,
+          null,
+          () -> {
+            n.going = true;
+            listed(n, "draining");
+          });
+    }
+  }
+
+  private void restart(Gate g, long againMs) {
+    kill(g);
+    events.in(Math.max(1, againMs) * 1_000_000, null, () -> begin(g));
+  }
+
+  private List<Node> zone(Fault f) {
+    return nodes.stream().filter(n -> n.number % n.zones == (int) f.by() % n.zones).toList();
+  }
+
+  private void during(Fault f, Runnable begins, Runnable ends) {
+    begins.run();
+    if (f.forMs() > 0) {
+      events.in(f.forMs() * 1_000_000, null, ends);
+    }
+  }
+
+  /** It turns nobody away meanwhile: it cannot be reached. */
+  private void down(Fault f) {
+    listDownUntil =
+        f.forMs() == 0
+            ? Long.MAX_VALUE / 2
+            : Math.max(listDownUntil, events.now() + f.forMs() * 1_000_000);
+    during(f, () -> list.down(true), () -> list.down(false));
+  }
+
+  private void die(Node n, Fault f) {
+    if (n.process.dead() || n.going || f.forMs() == 0 && !spare()) {
+      return;
+    }
+    Process was = n.process;
+    was.die();
+    listedLater(n, "gone", 300 + f.atMs() % 1000);
+    if (f.forMs() > 0) {
+      events.in(
+          f.forMs() * 1_000_000,
+          null,
+          () -> {
+            if (n.process == was) {
+              n.dial = f.kind() == Kind.MOVES ? null : n.dial;
+              begin(n, true);
+              listed(n, "ready");
             }
+          });
+    }
+  }
+
+  private void vanish(Node n, Fault f) {
+    Process was = n.process;
+    if (was.dead() || n.going || f.forMs() == 0) {
+      return;
+    }
+    was.cutOff(true);
+    boolean[] back = {false};
+    events.in(
+        1_000_000_000L,
+        null,
+        () -> {
+          if (!back[0] && n.process == was && !n.going) {
+            listed(n, "gone");
+          }
         });
-        events.in(f.forMs() * 1_000_000, null, () -> {
-            back[0] = true;
-            was.cutOff(false);
-            if (n.process == was && !was.dead() && !n.going) {
-                listed(n, "ready");
-            }
+    events.in(
+        f.forMs() * 1_000_000,
+        null,
+        () -> {
+          back[0] = true;
+          was.cutOff(false);
+          if (n.process == was && !was.dead() && !n.going) {
+            listed(n, "ready");
+          }
         });
-    }
-
-    private void drain(Node n) {
-        if (n.going || n.process.dead() || n.process.cutOff() || !spare()) {
-            return;
-        }
-        n.going = true;
-        Process was = n.process;
-        listed(n, "draining");
-        events.in(1_000_000_000L, null, () -> n.node.drain());
-        listedLater(n, "gone", 2500);
-        events.in(3_500_000_000L, null, was::die);
-    }
-
-    private void grow() {
-        Node n = newNode();
-        begin(n, true);
-        listed(n, "ready");
-    }
-
-    private void deploy(Fault f) {
-        List<Node> old = nodes.stream().filter(n -> !n.going && !n.process.dead()).toList();
-        int count = (int) Math.ceil(old.size() * Math.min(1, f.by()));
-        for (int i = 0; i < count; i++) {
-            Node n = old.get(i);
-            events.in(i * Math.max(50, f.forMs() / count) * 1_000_000L, null, () -> {
-                grow();
-                drain(n);
-            });
-        }
-    }
+  }
+
+  private void drain(Node n) {
+    if (n.going || n.process.dead() || n.process.cutOff() || !spare()) {
+      return;
+    }
+    n.going = true;
+    Process was = n.process;
+    listed(n, "draining");
+    events.in(1_000_000_000L, null, () -> n.node.drain());
+    listedLater(n, "gone", 2500);
+    events.in(3_500_000_000L, null, was::die);
+  }
+
+  private void grow() {
+    Node n = newNode();
+    begin(n, true);
+    listed(n, "ready");
+  }
+
+  private void deploy(Fault f) {
+    List<Node> old = nodes.stream().filter(n -> !n.going && !n.process.dead()).toList();
+    int count = (int) Math.ceil(old.size() * Math.min(1, f.by()));
+    for (int i = 0; i < count; i++) {
+      Node n = old.get(i);
+      events.in(
+          i * Math.max(50, f.forMs() / count) * 1_000_000L,
+          null,
+          () -> {
+            grow();
+            drain(n);
+          });
+    }
+  }
 }
--- a/src/main/java/pathgw/simulation/Process.java
+++ b/src/main/java/pathgw/simulation/Process.java
@@ -8,93 +8,98 @@
 import java.util.function.Consumer;
 import pathgw.standin.Clock;
 
-/** One process of the world, from one start to its end; what happens to it happens one after another. */
+/**
+ * One process of the world, from one start to its end; what happens to it happens one after
+ * another.
+ */
 final class Process implements Clock {
-    final String name;
-    final Set<VirtualPipe> pipes = new LinkedHashSet<>();
-    private final Events events;
-    private final Consumer<RuntimeException> failed;
-    private final ArrayDeque<Events.Event> backlog = new ArrayDeque<>();
-    private long stillUntil;
-    private long stoodUntil;
-    private boolean dead;
-    private boolean cutOff;
+  final String name;
+  final Set<VirtualPipe> pipes = new LinkedHashSet<>();
+  private final Events events;
+  private final Consumer<RuntimeException> failed;
+  private final ArrayDeque<Events.Event> backlog = new ArrayDeque<>();
+  private long stillUntil;
+  private long stoodUntil;
+  private boolean dead;
+  private boolean cutOff;
 
-    /** @param failed hears of what one of its handlers threw */
-    Process(String name, Events events, Consumer<RuntimeException> failed) {
-        this.name = name;
-        this.events = events;
-        this.failed = failed;
-    }
+  /**
+   * @param failed hears of what one of its handlers threw
+   */
+  Process(String name, Events events, Consumer<RuntimeException> failed) {
+    this.name = name;
+    this.events = events;
+    this.failed = failed;
+  }
 
-    @Override
-    public Duration now() {
-        return Duration.ofNanos(events.now());
-    }
+  @Override
+  public Duration now() {
+    return Duration.ofNanos(events.now());
+  }
 
-    @Override
-    public void in(Duration span, Runnable what) {
-        events.in(span.toNanos(), this, what);
-    }
+  @Override
+  public void in(Duration span, Runnable what) {
+    events.in(span.toNanos(), this, what);
+  }
 
-    void take(Events.Event event) {
-        if (dead) {
-            return;
-        }
-        if (events.now() < stillUntil || !backlog.isEmpty()) {
-            backlog.add(event);
-            return;
-        }
-        happen(event);
+  void take(Events.Event event) {
+    if (dead) {
+      return;
     }
-
-    private void happen(Events.Event event) {
-        try {
-            event.happen();
-        } catch (RuntimeException e) {
-            failed.accept(e);
-        }
+    if (events.now() < stillUntil || !backlog.isEmpty()) {
+      backlog.add(event);
+      return;
     }
+    happen(event);
+  }
 
-    /** It runs nothing until then; what comes meanwhile waits, in its order. */
-    void standStill(long until) {
-        stillUntil = Math.max(stillUntil, until);
-        stoodUntil = stillUntil;
-        events.at(stillUntil, null, this::goOn);
+  private void happen(Events.Event event) {
+    try {
+      event.happen();
+    } catch (RuntimeException e) {
+      failed.accept(e);
     }
+  }
 
-    private void goOn() {
-        while (!dead && events.now() >= stillUntil && !backlog.isEmpty()) {
-            happen(backlog.poll());
-        }
-    }
+  /** It runs nothing until then; what comes meanwhile waits, in its order. */
+  void standStill(long until) {
+    stillUntil = Math.max(stillUntil, until);
+    stoodUntil = stillUntil;
+    events.at(stillUntil, null, this::goOn);
+  }
 
-    /** When it last stood still, to the end of that; zero if it never has. */
-    long stoodUntil() {
-        return stoodUntil;
+  private void goOn() {
+    while (!dead && events.now() >= stillUntil && !backlog.isEmpty()) {
+      happen(backlog.poll());
     }
+  }
 
-    boolean dead() {
-        return dead;
-    }
+  /** When it last stood still, to the end of that; zero if it never has. */
+  long stoodUntil() {
+    return stoodUntil;
+  }
 
-    boolean cutOff() {
-        return cutOff;
-    }
+  boolean dead() {
+    return dead;
+  }
 
-    /** Its connections are reset by the machine that it ran on. */
-    void die() {
-        dead = true;
-        backlog.clear();
-        List.copyOf(pipes).forEach(VirtualPipe::reset);
-    }
+  boolean cutOff() {
+    return cutOff;
+  }
+
+  /** Its connections are reset by the machine that it ran on. */
+  void die() {
+    dead = true;
+    backlog.clear();
+    List.copyOf(pipes).forEach(VirtualPipe::reset);
+  }
 
-    /** The machine is cut off: nothing comes or goes, and nobody is told. */
-    void cutOff(boolean cutOff) {
-        if (this.cutOff && !cutOff) {
-            this.cutOff = false;
-            List.copyOf(pipes).forEach(VirtualPipe::reset);
-        }
-        this.cutOff = cutOff;
+  /** The machine is cut off: nothing comes or goes, and nobody is told. */
+  void cutOff(boolean cutOff) {
+    if (this.cutOff && !cutOff) {
+      this.cutOff = false;
+      List.copyOf(pipes).forEach(VirtualPipe::reset);
     }
+    this.cutOff = cutOff;
+  }
 }
--- a/src/main/java/pathgw/simulation/Seeds.java
+++ b/src/main/java/pathgw/simulation/Seeds.java
@@ -13,105 +13,129 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 
-/** Plays many seeds, each wholly on one thread; what comes out is the same however many threads there are. */
+/**
+ * Plays many seeds, each wholly on one thread; what comes out is the same however many threads
+ * there are.
+ */
 public final class Seeds {
-    /**
-     * What came of a range of seeds.
-     *
-     * @param failed  the outcomes in which a rule was broken, by seed
-     * @param digest  of all digests, in the order of the seeds
-     * @param counts  how often each trouble, end and answer came
-     * @param service the shares of first tries delivered after the troubles, of the runs that kept all rules
-     */
-    public record Sum(long played, List<Failure> failed, long digest, long virtualMs, long steps,
-            Map<String, Long> counts, List<Double> service) {
-    }
+  /**
+   * What came of a range of seeds.
+   *
+   * @param failed the outcomes in which a rule was broken, by seed
+   * @param digest of all digests, in the order of the seeds
+   * @param counts how often each trouble, end and answer came
+   * @param service the shares of first tries delivered after the troubles, of the runs that kept
+   *     all rules
+   */
+  public record Sum(
+      long played,
+      List<Failure> failed,
+      long digest,
+      long virtualMs,
+      long steps,
+      Map<String, Long> counts,
+      List<Double> service) {}
 
-    /** A seed that broke a rule, and the small script that breaks it alike. */
-    public record Failure(long seed, String breach, String script, String shrunk) {
-    }
+  /** A seed that broke a rule, and the small script that breaks it alike. */
+  public record Failure(long seed, String breach, String script, String shrunk) {}
 
-    private static final int AHEAD = 16;
+  private static final int AHEAD = 16;
 
-    private Seeds() {
-    }
+  private Seeds() {}
 
-    /**
-     * @param jobs   threads
-     * @param played hears of each outcome in the order of the seeds: how many so far and how many failed
-     * @param shrink whether failures are shrunk; the first few only
-     */
-    public static Sum play(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
-            throws InterruptedException {
-        return play(from, to, jobs, shrink ? 8 : 0, Tamper.NONE, Draw::script, played);
-    }
+  /**
+   * @param jobs threads
+   * @param played hears of each outcome in the order of the seeds: how many so far and how many
+   *     failed
+   * @param shrink whether failures are shrunk; the first few only
+   */
+  public static Sum play(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
+      throws InterruptedException {
+    return play(from, to, jobs, shrink ? 8 : 0, Tamper.NONE, Draw::script, played);
+  }
 
-    /** The same of large fleets, which take some hundred times as long. */
-    public static Sum fleets(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
-            throws InterruptedException {
-        return play(from, to, jobs, shrink ? 1 : 0, Tamper.NONE, Draw::fleet, played);
-    }
+  /** The same of large fleets, which take some hundred times as long. */
+  public static Sum fleets(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
+      throws InterruptedException {
+    return play(from, to, jobs, shrink ? 1 : 0, Tamper.NONE, Draw::fleet, played);
+  }
 
-    static Sum play(long from, long to, int jobs, int shrinks, Tamper tamper, LongFunction<Script> draw,
-            Consumer<long[]> played) throws InterruptedException {
-        ExecutorService threads = Executors.newFixedThreadPool(jobs);
-        try {
-            Deque<Future<Outcome>> ahead = new ArrayDeque<>();
-            long next = from;
-            long digest = 0;
-            long virtualMs = 0;
-            long steps = 0;
-            long count = 0;
-            Map<String, Long> counts = new TreeMap<>();
-            List<Double> service = new ArrayList<>();
-            List<Outcome> failed = new ArrayList<>();
-            while (next <= to || !ahead.isEmpty()) {
-                // However many seeds there are, only so many wait for a thread at a time.
-                while (next <= to && ahead.size() < jobs * AHEAD) {
-                    Script script = draw.apply(next++);
-                    ahead.add(threads.submit(() -> Play.play(script, tamper, null)));
-                }
-                Outcome o = ahead.poll().get();
-                digest = Long.rotateLeft(digest * 0x9E3779B97F4A7C15L, 31) ^ o.digest();
-                virtualMs += o.virtualMs();
-                steps += o.steps();
-                count++;
-                o.counts().forEach((what, n) -> counts.merge(what, n,
-                        what.contains(Referee.MOST) ? Math::max : Long::sum));
-                if (o.breach() != null) {
-                    failed.add(o);
-                } else {
-                    service.add(o.service());
-                }
-                played.accept(new long[] {count, failed.size()});
-            }
-            List<Future<Failure>> failures = new ArrayList<>();
-            for (Outcome o : failed) {
-                boolean small = failures.size() < shrinks;
-                failures.add(threads.submit(() -> new Failure(o.script().seed(), o.breach().toString(),
-                        o.script().toString(), small
-                                ? Shrink.shrink(s -> Play.play(s, tamper, null), o).toString() : "")));
-            }
-            List<Failure> told = new ArrayList<>();
-            for (Future<Failure> f : failures) {
-                told.add(f.get());
-            }
-            return new Sum(count, told, digest, virtualMs, steps, counts, service);
-        } catch (ExecutionException e) {
-            throw new IllegalStateException("a seed could not be played", e.getCause());
-        } finally {
-            threads.shutdownNow();
+  static Sum play(
+      long from,
+      long to,
+      int jobs,
+      int shrinks,
+      Tamper tamper,
+      LongFunction<Script> draw,
+      Consumer<long[]> played)
+      throws InterruptedException {
+    ExecutorService threads = Executors.newFixedThreadPool(jobs);
+    try {
+      Deque<Future<Outcome>> ahead = new ArrayDeque<>();
+      long next = from;
+      long digest = 0;
+      long virtualMs = 0;
+      long steps = 0;
+      long count = 0;
+      Map<String, Long> counts = new TreeMap<>();
+      List<Double> service = new ArrayList<>();
+      List<Outcome> failed = new ArrayList<>();
+      while (next <= to || !ahead.isEmpty()) {
+        // However many seeds there are, only so many wait for a thread at a time.
+        while (next <= to && ahead.size() < jobs * AHEAD) {
+          Script script = draw.apply(next++);
+          ahead.add(threads.submit(() -> Play.play(script, tamper, null)));
+        }
+        Outcome o = ahead.poll().get();
+        digest = Long.rotateLeft(digest * 0x9E3779B97F4A7C15L, 31) ^ o.digest();
+        virtualMs += o.virtualMs();
+        steps += o.steps();
+        count++;
+        o.counts()
+            .forEach(
+                (what, n) ->
+                    counts.merge(what, n, what.contains(Referee.MOST) ? Math::max : Long::sum));
+        if (o.breach() != null) {
+          failed.add(o);
+        } else {
+          service.add(o.service());
         }
+        played.accept(new long[] {count, failed.size()});
+      }
+      List<Future<Failure>> failures = new ArrayList<>();
+      for (Outcome o : failed) {
+        boolean small = failures.size() < shrinks;
+        failures.add(
+            threads.submit(
+                () ->
+                    new Failure(
+                        o.script().seed(),
+                        o.breach().toString(),
+                        o.script().toString(),
+                        small
+                            ? Shrink.shrink(s -> Play.play(s, tamper, null), o).toString()
+                            : "")));
+      }
+      List<Failure> told = new ArrayList<>();
+      for (Future<Failure> f : failures) {
+        told.add(f.get());
+      }
+      return new Sum(count, told, digest, virtualMs, steps, counts, service);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("a seed could not be played", e.getCause());
+    } finally {
+      threads.shutdownNow();
     }
+  }
 
-    /** One run, with each line of what happened. @return the breach in words, or null */
-    public static String trace(String script, Consumer<String> out) {
-        Outcome o = Play.play(Script.read(script), Tamper.NONE, out);
-        return o.breach() == null ? null : o.breach().toString();
-    }
+  /** One run, with each line of what happened. @return the breach in words, or null */
+  public static String trace(String script, Consumer<String> out) {
+    Outcome o = Play.play(Script.read(script), Tamper.NONE, out);
+    return o.breach() == null ? null : o.breach().toString();
+  }
 
-    /** The script that a seed draws. */
-    public static String script(long seed, boolean fleet) {
-        return (fleet ? Draw.fleet(seed) : Draw.script(seed)).toString();
-    }
+  /** The script that a seed draws. */
+  public static String script(long seed, boolean fleet) {
+    return (fleet ? Draw.fleet(seed) : Draw.script(seed)).toString();
+  }
 }
--- a/src/main/java/pathgw/simulation/VirtualPipe.java
+++ b/src/main/java/pathgw/simulation/VirtualPipe.java
@@ -10,245 +10,251 @@
 import pathgw.net.Pipe;
 
 /**
- * One end of a connection between two processes: bytes arrive in order, late, cut anywhere, or not at all.
+ * One end of a connection between two processes: bytes arrive in order, late, cut anywhere, or not
+ * at all.
  */
 final class VirtualPipe implements Pipe {
-    /** What the two machines hold between them for a reader that does not read. */
-    private static final int WINDOW = 1 << 18;
-    private static final int FULL = 1 << 16;
-
-    private final VirtualNet net;
-    private final Process owner;
-    private final Address here;
-    private final Address there;
-    private final ArrayDeque<Buffer> unread = new ArrayDeque<>();
-    private final ArrayDeque<Promise<Void>> unwritten = new ArrayDeque<>();
-    private VirtualPipe other;
-    private Consumer<Buffer> reader;
-    private Consumer<Buffer> tap = bytes -> { };
-    private Consumer<Over> whenOver = over -> { };
-    private Runnable whenRoom = () -> { };
-    private boolean paused;
-    private boolean closed;
-    private boolean overTold;
-    private boolean endsWriting;
-    private Over how = Over.ORDERLY;
-    /** What arrives later than this is lost; what lies unread at the machine can still be read. */
-    private long lostAfter = Long.MAX_VALUE;
-    private boolean wasFull;
-    private long onTheWay;
-    private long arrives;
-
-    VirtualPipe(VirtualNet net, Process owner, Address here, Address there) {
-        this.net = net;
-        this.owner = owner;
-        this.here = here;
-        this.there = there;
-        owner.pipes.add(this);
-    }
+  /** What the two machines hold between them for a reader that does not read. */
+  private static final int WINDOW = 1 << 18;
 
-    static void join(VirtualPipe a, VirtualPipe b) {
-        a.other = b;
-        b.other = a;
-    }
+  private static final int FULL = 1 << 16;
 
-    Process owner() {
-        return owner;
-    }
+  private final VirtualNet net;
+  private final Process owner;
+  private final Address here;
+  private final Address there;
+  private final ArrayDeque<Buffer> unread = new ArrayDeque<>();
+  private final ArrayDeque<Promise<Void>> unwritten = new ArrayDeque<>();
+  private VirtualPipe other;
+  private Consumer<Buffer> reader;
+  private Consumer<Buffer> tap = bytes -> {};
+  private Consumer<Over> whenOver = over -> {};
+  private Runnable whenRoom = () -> {};
+  private boolean paused;
+  private boolean closed;
+  private boolean overTold;
+  private boolean endsWriting;
+  private Over how = Over.ORDERLY;
 
-    /** Nobody hears of bytes on a connection, or of its end, before it has come up. */
-    void nothingArrivesBefore(long at) {
-        arrives = Math.max(arrives, at);
-    }
+  /** What arrives later than this is lost; what lies unread at the machine can still be read. */
+  private long lostAfter = Long.MAX_VALUE;
 
-    Process ownerThere() {
-        return other.owner;
-    }
+  private boolean wasFull;
+  private long onTheWay;
+  private long arrives;
 
-    /** @param tap hears what is written here, as it is written */
-    void tap(Consumer<Buffer> tap) {
-        this.tap = tap;
-    }
+  VirtualPipe(VirtualNet net, Process owner, Address here, Address there) {
+    this.net = net;
+    this.owner = owner;
+    this.here = here;
+    this.there = there;
+    owner.pipes.add(this);
+  }
 
-    /** Whether the other side has not read all that was written here. */
-    boolean unreadThere() {
-        return onTheWay > 0;
-    }
+  static void join(VirtualPipe a, VirtualPipe b) {
+    a.other = b;
+    b.other = a;
+  }
 
-    @Override
-    public void reads(Consumer<Buffer> came) {
-        reader = came;
-        if (!unread.isEmpty()) {
-            net.soon(owner, this::readOn);
-        }
-    }
+  Process owner() {
+    return owner;
+  }
 
-    @Override
-    public void whenOver(Consumer<Over> over) {
-        whenOver = over;
-    }
+  /** Nobody hears of bytes on a connection, or of its end, before it has come up. */
+  void nothingArrivesBefore(long at) {
+    arrives = Math.max(arrives, at);
+  }
 
-    @Override
-    public void whenRoom(Runnable room) {
-        whenRoom = room;
-    }
+  Process ownerThere() {
+    return other.owner;
+  }
 
-    @Override
-    public Future<Void> write(Buffer given) {
-        if (closed) {
-            return Future.failedFuture(new IOException("closed"));
-        }
-        Buffer bytes = given.copy();
-        if (net.cutsBefore(other.owner)) {
-            Buffer half = bytes.slice(0, bytes.length() / 2).copy();
-            tap.accept(half);
-            send(half);
-            reset();
-            return Future.failedFuture(new IOException("reset"));
-        }
-        tap.accept(bytes);
-        send(bytes);
-        if (onTheWay <= WINDOW) {
-            return Future.succeededFuture();
-        }
-        Promise<Void> written = Promise.promise();
-        unwritten.add(written);
-        return written.future();
-    }
+  /**
+   * @param tap hears what is written here, as it is written
+   */
+  void tap(Consumer<Buffer> tap) {
+    this.tap = tap;
+  }
 
-    private void send(Buffer bytes) {
-        if (bytes.length() == 0) {
-            return;
-        }
-        onTheWay += bytes.length();
-        wasFull |= full();
-        int cut = net.cutsAt(bytes.length());
-        if (cut > 0) {
-            deliver(bytes.slice(0, cut).copy());
-            deliver(bytes.slice(cut, bytes.length()).copy());
-        } else {
-            deliver(bytes);
-        }
-    }
+  /** Whether the other side has not read all that was written here. */
+  boolean unreadThere() {
+    return onTheWay > 0;
+  }
 
-    private void deliver(Buffer bytes) {
-        arrives = Math.max(arrives, net.arrival());
-        long at = arrives;
-        net.at(at, other.owner, () -> other.arrived(bytes, at));
+  @Override
+  public void reads(Consumer<Buffer> came) {
+    reader = came;
+    if (!unread.isEmpty()) {
+      net.soon(owner, this::readOn);
     }
+  }
 
-    private void arrived(Buffer bytes, long at) {
-        if (closed || at > lostAfter || owner.cutOff() || other.owner.cutOff()) {
-            return;
-        }
-        net.seen(owner, bytes);
-        unread.add(bytes);
-        readOn();
-    }
+  @Override
+  public void whenOver(Consumer<Over> over) {
+    whenOver = over;
+  }
 
-    private void readOn() {
-        while (!paused && !closed && reader != null && !unread.isEmpty()) {
-            Buffer bytes = unread.poll();
-            if (!endsWriting) {
-                other.read(bytes.length());
-            }
-            reader.accept(bytes);
-        }
-    }
+  @Override
+  public void whenRoom(Runnable room) {
+    whenRoom = room;
+  }
 
-    private void read(int length) {
-        onTheWay -= length;
-        while (onTheWay <= WINDOW && !unwritten.isEmpty()) {
-            Promise<Void> written = unwritten.poll();
-            net.soon(owner, written::complete);
-        }
-        if (wasFull && onTheWay <= FULL / 2) {
-            wasFull = false;
-            net.soon(owner, () -> whenRoom.run());
-        }
+  @Override
+  public Future<Void> write(Buffer given) {
+    if (closed) {
+      return Future.failedFuture(new IOException("closed"));
     }
-
-    @Override
-    public boolean full() {
-        return onTheWay >= FULL;
+    Buffer bytes = given.copy();
+    if (net.cutsBefore(other.owner)) {
+      Buffer half = bytes.slice(0, bytes.length() / 2).copy();
+      tap.accept(half);
+      send(half);
+      reset();
+      return Future.failedFuture(new IOException("reset"));
     }
-
-    @Override
-    public void pause() {
-        paused = true;
+    tap.accept(bytes);
+    send(bytes);
+    if (onTheWay <= WINDOW) {
+      return Future.succeededFuture();
     }
+    Promise<Void> written = Promise.promise();
+    unwritten.add(written);
+    return written.future();
+  }
 
-    @Override
-    public void resume() {
-        if (paused) {
-            paused = false;
-            net.soon(owner, this::readOn);
-        }
+  private void send(Buffer bytes) {
+    if (bytes.length() == 0) {
+      return;
     }
+    onTheWay += bytes.length();
+    wasFull |= full();
+    int cut = net.cutsAt(bytes.length());
+    if (cut > 0) {
+      deliver(bytes.slice(0, cut).copy());
+      deliver(bytes.slice(cut, bytes.length()).copy());
+    } else {
+      deliver(bytes);
+    }
+  }
+
+  private void deliver(Buffer bytes) {
+    arrives = Math.max(arrives, net.arrival());
+    long at = arrives;
+    net.at(at, other.owner, () -> other.arrived(bytes, at));
+  }
 
-    /** Closed on bytes that lie unread, a connection is reset, and what is on its way is lost. */
-    @Override
-    public void close() {
-        if (!closed) {
-            boolean resets = !unread.isEmpty();
-            end();
-            other.lostAfter = resets ? net.now() : other.lostAfter;
-            other.how = resets ? Over.BROKEN : other.how;
-            net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
-        }
+  private void arrived(Buffer bytes, long at) {
+    if (closed || at > lostAfter || owner.cutOff() || other.owner.cutOff()) {
+      return;
     }
+    net.seen(owner, bytes);
+    unread.add(bytes);
+    readOn();
+  }
 
-    @Override
-    public void endWriting() {
-        // What crosses this end is read and thrown away, which is not taken.
-        endsWriting = true;
-        net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
+  private void readOn() {
+    while (!paused && !closed && reader != null && !unread.isEmpty()) {
+      Buffer bytes = unread.poll();
+      if (!endsWriting) {
+        other.read(bytes.length());
+      }
+      reader.accept(bytes);
     }
+  }
 
-    /** Both ends hear of it, each in its time; what is on its way is lost. */
-    void reset() {
-        if (!closed) {
-            end();
-            lostAfter = net.now();
-            other.lostAfter = net.now();
-            other.how = Over.BROKEN;
-            net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
-        }
+  private void read(int length) {
+    onTheWay -= length;
+    while (onTheWay <= WINDOW && !unwritten.isEmpty()) {
+      Promise<Void> written = unwritten.poll();
+      net.soon(owner, written::complete);
+    }
+    if (wasFull && onTheWay <= FULL / 2) {
+      wasFull = false;
+      net.soon(owner, () -> whenRoom.run());
     }
+  }
 
-    private void end() {
-        closed = true;
-        how = Over.BROKEN;
-        owner.pipes.remove(this);
-        net.soon(owner, this::over);
+  @Override
+  public boolean full() {
+    return onTheWay >= FULL;
+  }
+
+  @Override
+  public void pause() {
+    paused = true;
+  }
+
+  @Override
+  public void resume() {
+    if (paused) {
+      paused = false;
+      net.soon(owner, this::readOn);
     }
+  }
 
-    /** The other side has ended it; a machine that is cut off is not told so. */
-    private void endedThere() {
-        if (!other.owner.cutOff() && !owner.cutOff()) {
-            over();
-        }
+  /** Closed on bytes that lie unread, a connection is reset, and what is on its way is lost. */
+  @Override
+  public void close() {
+    if (!closed) {
+      boolean resets = !unread.isEmpty();
+      end();
+      other.lostAfter = resets ? net.now() : other.lostAfter;
+      other.how = resets ? Over.BROKEN : other.how;
+      net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
     }
+  }
+
+  @Override
+  public void endWriting() {
+    // What crosses this end is read and thrown away, which is not taken.
+    endsWriting = true;
+    net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
+  }
 
-    private void over() {
-        if (!overTold) {
-            overTold = true;
-            closed = true;
-            owner.pipes.remove(this);
-            while (!unwritten.isEmpty()) {
-                unwritten.poll().fail(new IOException("closed"));
-            }
-            whenOver.accept(how);
-        }
+  /** Both ends hear of it, each in its time; what is on its way is lost. */
+  void reset() {
+    if (!closed) {
+      end();
+      lostAfter = net.now();
+      other.lostAfter = net.now();
+      other.how = Over.BROKEN;
+      net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
     }
+  }
 
-    @Override
-    public Address here() {
-        return here;
+  private void end() {
+    closed = true;
+    how = Over.BROKEN;
+    owner.pipes.remove(this);
+    net.soon(owner, this::over);
+  }
+
+  /** The other side has ended it; a machine that is cut off is not told so. */
+  private void endedThere() {
+    if (!other.owner.cutOff() && !owner.cutOff()) {
+      over();
     }
+  }
 
-    @Override
-    public Address there() {
-        return there;
+  private void over() {
+    if (!overTold) {
+      overTold = true;
+      closed = true;
+      owner.pipes.remove(this);
+      while (!unwritten.isEmpty()) {
+        unwritten.poll().fail(new IOException("closed"));
+      }
+      whenOver.accept(how);
     }
+  }
+
+  @Override
+  public Address here() {
+    return here;
+  }
+
+  @Override
+  public Address there() {
+    return there;
+  }
 }
--- a/src/main/java/pathgw/standin/Ask.java
+++ b/src/main/java/pathgw/standin/Ask.java
@@ -5,15 +5,24 @@
 /**
  * One try of a client.
  *
- * @param id    new with every try
- * @param mark  what a numbered access is known by, the same with every try; empty otherwise
+ * @param id new with every try
+ * @param mark what a numbered access is known by, the same with every try; empty otherwise
  * @param first when the client first asked
- * @param at    when this try was written whole
+ * @param at when this try was written whole
  * @param patience how long the client waits for this try
  */
-public record Ask(String id, Clients.Offering offering, int customer, String key, String mark, Duration first,
-        Duration at, Duration patience, int tries, boolean firstOnConnection) {
-    public Duration due() {
-        return at.plus(patience);
-    }
+public record Ask(
+    String id,
+    Clients.Offering offering,
+    int customer,
+    String key,
+    String mark,
+    Duration first,
+    Duration at,
+    Duration patience,
+    int tries,
+    boolean firstOnConnection) {
+  public Duration due() {
+    return at.plus(patience);
+  }
 }
--- a/src/main/java/pathgw/standin/Clients.java
+++ b/src/main/java/pathgw/standin/Clients.java
@@ -10,389 +10,454 @@
 import java.util.Random;
 
 /**
- * The clients of all proxies and the front that deals out their connections: it goes on sending to a dead
- * proxy for some seconds. Accesses come at random times that wait for no answer.
+ * The clients of all proxies and the front that deals out their connections: it goes on sending to
+ * a dead proxy for some seconds. Accesses come at random times that wait for no answer.
  */
 public final class Clients {
-    public enum Effect { REISSUABLE, NUMBERED, AT_MOST_ONCE }
-
-    /**
-     * @param repeats whether clients try a numbered access again after any failure
-     * @param part    of all accesses
-     */
-    public record Offering(String name, Effect effect, boolean repeats, Duration outerLimit,
-            Duration patience,
-            double part) {
+  public enum Effect {
+    REISSUABLE,
+    NUMBERED,
+    AT_MOST_ONCE
+  }
+
+  /**
+   * @param repeats whether clients try a numbered access again after any failure
+   * @param part of all accesses
+   */
+  public record Offering(
+      String name,
+      Effect effect,
+      boolean repeats,
+      Duration outerLimit,
+      Duration patience,
+      double part) {}
+
+  /** What clients do just now. */
+  public static final class Habits {
+    /** Accesses a second. */
+    public double rate;
+
+    /** The share that asks for one single key. */
+    public double hot;
+
+    /** How many times more the first customer asks than it did. */
+    public double greed = 1;
+
+    /** The share that leaves before it has its answer. */
+    public double leaves;
+
+    /** The share that asks once and keeps its connection for good. */
+    public double stay;
+
+    /** Clients a second that send what is no command. */
+    public double rude;
+  }
+
+  private static final int MOST_KEPT = 24;
+  private static final int MOST_TRIES = 3;
+  private static final Duration GIVES_UP = Duration.ofMillis(400);
+  private static final String VALUE = "some bytes of a booking";
+
+  private final Clock clock;
+  private final Random chance;
+  private final Front front;
+  private final ClientWitness witness;
+  private final List<Offering> offerings;
+  private final List<String> customers;
+  private final double[] keys;
+  private final Habits habits = new Habits();
+  private final List<Deque<Connection>> kept = new ArrayList<>();
+  private final boolean[] up;
+  private final Duration[] noticed;
+  private final double[] parts;
+  private int next;
+  private boolean stopped;
+
+  /**
+   * @param uneven how unlike the proxies' traffic is: exponent of Zipf's law, 0 for turn by turn
+   * @param keys how many, asked for by Zipf's law with exponent {@code skew}
+   */
+  public Clients(
+      Clock clock,
+      Random chance,
+      Front front,
+      ClientWitness witness,
+      int proxies,
+      double uneven,
+      List<Offering> offerings,
+      List<String> customers,
+      int keys,
+      double skew) {
+    this.clock = clock;
+    this.chance = chance;
+    this.front = front;
+    this.witness = witness;
+    this.offerings = offerings;
+    this.customers = customers;
+    this.keys = new double[keys];
+    double sum = 0;
+    for (int i = 0; i < keys; i++) {
+      sum += 1 / Math.sqrt(Math.pow(i + 1, 2 * skew));
+      this.keys[i] = sum;
     }
-
-    /** What clients do just now. */
-    public static final class Habits {
-        /** Accesses a second. */
-        public double rate;
-        /** The share that asks for one single key. */
-        public double hot;
-        /** How many times more the first customer asks than it did. */
-        public double greed = 1;
-        /** The share that leaves before it has its answer. */
-        public double leaves;
-        /** The share that asks once and keeps its connection for good. */
-        public double stay;
-        /** Clients a second that send what is no command. */
-        public double rude;
-    }
-
-    private static final int MOST_KEPT = 24;
-    private static final int MOST_TRIES = 3;
-    private static final Duration GIVES_UP = Duration.ofMillis(400);
-    private static final String VALUE = "some bytes of a booking";
-
-    private final Clock clock;
-    private final Random chance;
-    private final Front front;
-    private final ClientWitness witness;
-    private final List<Offering> offerings;
-    private final List<String> customers;
-    private final double[] keys;
-    private final Habits habits = new Habits();
-    private final List<Deque<Connection>> kept = new ArrayList<>();
-    private final boolean[] up;
-    private final Duration[] noticed;
-    private final double[] parts;
-    private int next;
-    private boolean stopped;
-
-    /**
-     * @param uneven how unlike the proxies' traffic is: exponent of Zipf's law, 0 for turn by turn
-     * @param keys   how many, asked for by Zipf's law with exponent {@code skew}
-     */
-    public Clients(Clock clock, Random chance, Front front, ClientWitness witness, int proxies, double uneven,
-            List<Offering> offerings, List<String> customers, int keys, double skew) {
-        this.clock = clock;
-        this.chance = chance;
-        this.front = front;
-        this.witness = witness;
-        this.offerings = offerings;
-        this.customers = customers;
-        this.keys = new double[keys];
-        double sum = 0;
-        for (int i = 0; i < keys; i++) {
-            sum += 1 / Math.sqrt(Math.pow(i + 1, 2 * skew));
-            this.keys[i] = sum;
-        }
-        parts = uneven == 0 ? null : new double[proxies];
-        double all = 0;
-        for (int i = 0; parts != null && i < proxies; i++) {
-            all += 1 / Math.sqrt(Math.pow(i + 1, 2 * uneven));
-            parts[i] = all;
-        }
-        up = new boolean[proxies];
-        noticed = new Duration[proxies];
-        for (int i = 0; i < proxies; i++) {
-            kept.add(new ArrayDeque<>());
-        }
-    }
-
-    public Habits habits() {
-        return habits;
-    }
-
-    public void start() {
-        Arrays.fill(up, true);
-        arrive();
-        rude();
+    parts = uneven == 0 ? null : new double[proxies];
+    double all = 0;
+    for (int i = 0; parts != null && i < proxies; i++) {
+      all += 1 / Math.sqrt(Math.pow(i + 1, 2 * uneven));
+      parts[i] = all;
     }
-
-    public void stop() {
-        stopped = true;
-        kept.forEach(pool -> List.copyOf(pool).forEach(c -> c.side.close()));
+    up = new boolean[proxies];
+    noticed = new Duration[proxies];
+    for (int i = 0; i < proxies; i++) {
+      kept.add(new ArrayDeque<>());
     }
+  }
+
+  public Habits habits() {
+    return habits;
+  }
+
+  public void start() {
+    Arrays.fill(up, true);
+    arrive();
+    rude();
+  }
+
+  public void stop() {
+    stopped = true;
+    kept.forEach(pool -> List.copyOf(pool).forEach(c -> c.side.close()));
+  }
+
+  /** A proxy answers again: the front deals to it from now on. */
+  public void serves(int proxy) {
+    up[proxy] = true;
+    noticed[proxy] = null;
+  }
+
+  /** A proxy was told to stop: after a moment the front deals to it no more. */
+  public void stops(int proxy) {
+    clock.in(Duration.ofMillis(200 + chance.nextInt(200)), () -> up[proxy] = false);
+  }
+
+  private Duration pause(double perSecond) {
+    return Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9));
+  }
+
+  private void arrive() {
+    clock.in(
+        pause(Math.max(0.1, habits.rate)),
+        () -> {
+          if (!stopped) {
+            double part = chance.nextDouble();
+            int o = 0;
+            while (o < offerings.size() - 1 && part >= offerings.get(o).part()) {
+              part -= offerings.get(o++).part();
+            }
+            Offering offering = offerings.get(o);
+            double of = customers.size() - 1 + habits.greed;
+            double whose = chance.nextDouble() * of - habits.greed;
+            int customer = whose < 0 ? 0 : Math.min(customers.size() - 1, 1 + (int) whose);
+            String mark = offering.effect == Effect.NUMBERED ? hex() : "";
+            attempt(offering, customer, key(), mark, clock.now(), 0);
+            arrive();
+          }
+        });
+  }
 
-    /** A proxy answers again: the front deals to it from now on. */
-    public void serves(int proxy) {
-        up[proxy] = true;
-        noticed[proxy] = null;
+  private String key() {
+    if (chance.nextDouble() < habits.hot) {
+      return "khot";
     }
-
-    /** A proxy was told to stop: after a moment the front deals to it no more. */
-    public void stops(int proxy) {
-        clock.in(Duration.ofMillis(200 + chance.nextInt(200)), () -> up[proxy] = false);
+    double at = chance.nextDouble() * keys[keys.length - 1];
+    int found = Arrays.binarySearch(keys, at);
+    return "k" + (found < 0 ? -found - 1 : found);
+  }
+
+  private String hex() {
+    return String.format("%016x", chance.nextLong());
+  }
+
+  /** The front's turn; a proxy that it knows to be dead is passed over. */
+  private int deal() {
+    if (parts != null) {
+      int found = Arrays.binarySearch(parts, chance.nextDouble() * parts[parts.length - 1]);
+      next = found < 0 ? -found - 1 : found;
+      if (up[next]) {
+        return next;
+      }
     }
-
-    private Duration pause(double perSecond) {
-        return Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9));
+    for (int i = 0; i < up.length; i++) {
+      next = (next + 1) % up.length;
+      if (up[next]) {
+        return next;
+      }
     }
-
-    private void arrive() {
-        clock.in(pause(Math.max(0.1, habits.rate)), () -> {
-            if (!stopped) {
-                double part = chance.nextDouble();
-                int o = 0;
-                while (o < offerings.size() - 1 && part >= offerings.get(o).part()) {
-                    part -= offerings.get(o++).part();
-                }
-                Offering offering = offerings.get(o);
-                double of = customers.size() - 1 + habits.greed;
-                double whose = chance.nextDouble() * of - habits.greed;
-                int customer = whose < 0 ? 0 : Math.min(customers.size() - 1, 1 + (int) whose);
-                String mark = offering.effect == Effect.NUMBERED ? hex() : "";
-                attempt(offering, customer, key(), mark, clock.now(), 0);
-                arrive();
+    return next = (next + 1) % up.length;
+  }
+
+  private void refused(int proxy) {
+    if (noticed[proxy] == null && up[proxy]) {
+      noticed[proxy] = clock.now().plusMillis(1500 + chance.nextInt(2000));
+      Duration notices = noticed[proxy];
+      clock.in(
+          notices.minus(clock.now()),
+          () -> {
+            if (notices.equals(noticed[proxy])) {
+              up[proxy] = false;
             }
-        });
+          });
     }
-
-    private String key() {
-        if (chance.nextDouble() < habits.hot) {
-            return "khot";
-        }
-        double at = chance.nextDouble() * keys[keys.length - 1];
-        int found = Arrays.binarySearch(keys, at);
-        return "k" + (found < 0 ? -found - 1 : found);
+  }
+
+  private void attempt(
+      Offering offering, int customer, String key, String mark, Duration first, int tries) {
+    Duration left = first.plus(offering.outerLimit).minus(clock.now());
+    Duration wait = left.compareTo(offering.patience) < 0 ? left : offering.patience;
+    if (stopped || tries >= MOST_TRIES || wait.toMillis() < 20) {
+      return;
     }
-
-    private String hex() {
-        return String.format("%016x", chance.nextLong());
+    int proxy = deal();
+    Connection free = kept.get(proxy).pollLast();
+    if (free != null) {
+      free.ask(offering, customer, key, mark, first, wait, tries);
+      return;
     }
-
-    /** The front's turn; a proxy that it knows to be dead is passed over. */
-    private int deal() {
-        if (parts != null) {
-            int found = Arrays.binarySearch(parts, chance.nextDouble() * parts[parts.length - 1]);
-            next = found < 0 ? -found - 1 : found;
-            if (up[next]) {
-                return next;
-            }
-        }
-        for (int i = 0; i < up.length; i++) {
-            next = (next + 1) % up.length;
-            if (up[next]) {
-                return next;
-            }
-        }
-        return next = (next + 1) % up.length;
+    front.open(
+        proxy,
+        side -> {
+          Connection c = new Connection(side, proxy);
+          c.ask(offering, customer, key, mark, first, wait, tries);
+          return c;
+        },
+        () -> {
+          refused(proxy);
+          clock.in(
+              Duration.ofMillis(50 + chance.nextInt(200)),
+              () -> attempt(offering, customer, key, mark, first, tries + 1));
+        });
+  }
+
+  private void again(Ask ask, Duration pause) {
+    clock.in(
+        pause.plusMillis(1 + chance.nextInt(100)),
+        () ->
+            attempt(
+                ask.offering(),
+                ask.customer(),
+                ask.key(),
+                ask.mark(),
+                ask.first(),
+                ask.tries() + 1));
+  }
+
+  private boolean mayRepeat(Ask ask) {
+    return ask.offering().effect == Effect.REISSUABLE
+        || ask.offering().effect == Effect.NUMBERED && ask.offering().repeats;
+  }
+
+  /** One kept connection and the try that is out on it. */
+  private final class Connection implements Talk {
+    private final Side side;
+    private final int proxy;
+    private final Cutter cutter = new Cutter(this::line);
+    private Ask out;
+    private boolean over;
+    private boolean used;
+
+    Connection(Side side, int proxy) {
+      this.side = side;
+      this.proxy = proxy;
     }
 
-    private void refused(int proxy) {
-        if (noticed[proxy] == null && up[proxy]) {
-            noticed[proxy] = clock.now().plusMillis(1500 + chance.nextInt(2000));
-            Duration notices = noticed[proxy];
-            clock.in(notices.minus(clock.now()), () -> {
-                if (notices.equals(noticed[proxy])) {
-                    up[proxy] = false;
-                }
+    void ask(
+        Offering offering,
+        int customer,
+        String key,
+        String mark,
+        Duration first,
+        Duration wait,
+        int tries) {
+      Ask ask =
+          new Ask(hex(), offering, customer, key, mark, first, clock.now(), wait, tries, !used);
+      used = true;
+      boolean write = offering.effect != Effect.REISSUABLE;
+      String labels =
+          " O"
+              + ask.id()
+              + " Pc="
+              + offering.name
+              + ",t="
+              + customers.get(customer)
+              + ",d="
+              + wait.toMillis()
+              + (mark.isEmpty() ? "" : ",k=" + mark)
+              + (tries > 0 ? ",r=1" : "");
+      out = ask;
+      side.write(
+          Buffer.buffer(
+              write
+                  ? "ms " + key + " " + VALUE.length() + labels + "\r\n" + VALUE + "\r\n"
+                  : "mg " + key + " v" + labels + "\r\n"));
+      witness.asked(ask, proxy);
+      if (chance.nextDouble() < habits.leaves) {
+        clock.in(
+            Duration.ofNanos((long) (wait.toNanos() * chance.nextDouble())),
+            () -> {
+              if (out == ask) {
+                out = null;
+                witness.left(ask, proxy);
+                side.close();
+                over = true;
+              }
             });
-        }
+      }
+      clock.in(
+          wait.plus(GIVES_UP),
+          () -> {
+            if (out == ask) {
+              out = null;
+              witness.neverAnswered(ask, proxy);
+              side.close();
+              over = true;
+            }
+          });
     }
 
-    private void attempt(Offering offering, int customer, String key, String mark, Duration first,
-            int tries) {
-        Duration left = first.plus(offering.outerLimit).minus(clock.now());
-        Duration wait = left.compareTo(offering.patience) < 0 ? left : offering.patience;
-        if (stopped || tries >= MOST_TRIES || wait.toMillis() < 20) {
-            return;
-        }
-        int proxy = deal();
-        Connection free = kept.get(proxy).pollLast();
-        if (free != null) {
-            free.ask(offering, customer, key, mark, first, wait, tries);
-            return;
-        }
-        front.open(proxy, side -> {
-            Connection c = new Connection(side, proxy);
-            c.ask(offering, customer, key, mark, first, wait, tries);
-            return c;
-        }, () -> {
-            refused(proxy);
-            clock.in(Duration.ofMillis(50 + chance.nextInt(200)),
-                    () -> attempt(offering, customer, key, mark, first, tries + 1));
-        });
+    @Override
+    public void came(Buffer bytes) {
+      cutter.take(bytes);
     }
 
-    private void again(Ask ask, Duration pause) {
-        clock.in(pause.plusMillis(1 + chance.nextInt(100)), () -> attempt(ask.offering(), ask.customer(),
-                ask.key(), ask.mark(), ask.first(), ask.tries() + 1));
+    private void line(byte[] bytes, int from, int to) {
+      String line = Request.text(bytes, from, to);
+      if (!line.startsWith("VA ")) {
+        answered(line);
+        return;
+      }
+      String size = line.split(" ")[1];
+      int length = size.matches("\\d{1,7}") ? Integer.parseInt(size) : 0;
+      cutter.expect(length + 2, (b, f, t) -> answered(line + " " + Request.text(b, f, t - 2)));
     }
 
-    private boolean mayRepeat(Ask ask) {
-        return ask.offering().effect == Effect.REISSUABLE
-                || ask.offering().effect == Effect.NUMBERED && ask.offering().repeats;
+    private void answered(String answer) {
+      Ask ask = out;
+      out = null;
+      if (ask == null) {
+        witness.answered(null, proxy, answer);
+        return;
+      }
+      witness.answered(ask, proxy, answer);
+      if (chance.nextDouble() < habits.stay) {
+        over = true;
+      } else if (!over
+          && !stopped
+          && kept.get(proxy).size() < MOST_KEPT
+          && chance.nextInt(20) > 0) {
+        kept.get(proxy).addLast(this);
+      } else {
+        side.close();
+        over = true;
+      }
+      if (answer.startsWith("SERVER_ERROR busy")) {
+        String[] words = answer.split(" ");
+        again(ask, Duration.ofMillis(words.length > 2 ? Integer.parseInt(words[2]) : 0));
+      } else if (!answer.startsWith("VA ") && !answer.startsWith("HD ") && mayRepeat(ask)) {
+        again(ask, Duration.ZERO);
+      }
     }
 
-    /** One kept connection and the try that is out on it. */
-    private final class Connection implements Talk {
-        private final Side side;
-        private final int proxy;
-        private final Cutter cutter = new Cutter(this::line);
-        private Ask out;
-        private boolean over;
-        private boolean used;
-
-        Connection(Side side, int proxy) {
-            this.side = side;
-            this.proxy = proxy;
-        }
-
-        void ask(Offering offering, int customer, String key, String mark, Duration first, Duration wait,
-                int tries) {
-            Ask ask = new Ask(hex(), offering, customer, key, mark, first, clock.now(), wait, tries, !used);
-            used = true;
-            boolean write = offering.effect != Effect.REISSUABLE;
-            String labels = " O" + ask.id() + " Pc=" + offering.name + ",t=" + customers.get(customer) + ",d="
-                    + wait.toMillis() + (mark.isEmpty() ? "" : ",k=" + mark) + (tries > 0 ? ",r=1" : "");
-            out = ask;
-            side.write(Buffer.buffer(write ? "ms " + key + " " + VALUE.length() + labels + "\r\n" + VALUE
-                    + "\r\n"
-                    : "mg " + key + " v" + labels + "\r\n"));
-            witness.asked(ask, proxy);
-            if (chance.nextDouble() < habits.leaves) {
-                clock.in(Duration.ofNanos((long) (wait.toNanos() * chance.nextDouble())), () -> {
-                    if (out == ask) {
-                        out = null;
-                        witness.left(ask, proxy);
-                        side.close();
-                        over = true;
-                    }
-                });
-            }
-            clock.in(wait.plus(GIVES_UP), () -> {
-                if (out == ask) {
-                    out = null;
-                    witness.neverAnswered(ask, proxy);
-                    side.close();
-                    over = true;
-                }
-            });
-        }
-
-        @Override
-        public void came(Buffer bytes) {
-            cutter.take(bytes);
-        }
-
-        private void line(byte[] bytes, int from, int to) {
-            String line = Request.text(bytes, from, to);
-            if (!line.startsWith("VA ")) {
-                answered(line);
-                return;
-            }
-            String size = line.split(" ")[1];
-            int length = size.matches("\\d{1,7}") ? Integer.parseInt(size) : 0;
-            cutter.expect(length + 2, (b, f, t) -> answered(line + " " + Request.text(b, f, t - 2)));
-        }
-
-        private void answered(String answer) {
-            Ask ask = out;
-            out = null;
-            if (ask == null) {
-                witness.answered(null, proxy, answer);
-                return;
-            }
-            witness.answered(ask, proxy, answer);
-            if (chance.nextDouble() < habits.stay) {
-                over = true;
-            } else if (!over && !stopped && kept.get(proxy).size() < MOST_KEPT && chance.nextInt(20) > 0) {
-                kept.get(proxy).addLast(this);
-            } else {
-                side.close();
-                over = true;
-            }
-            if (answer.startsWith("SERVER_ERROR busy")) {
-                String[] words = answer.split(" ");
-                again(ask, Duration.ofMillis(words.length > 2 ? Integer.parseInt(words[2]) : 0));
-            } else if (!answer.startsWith("VA ") && !answer.startsWith("HD ") && mayRepeat(ask)) {
-                again(ask, Duration.ZERO);
-            }
-        }
-
-        @Override
-        public void over() {
-            over = true;
-            kept.get(proxy).remove(this);
-            if (out != null) {
-                Ask ask = out;
-                out = null;
-                witness.cutOff(ask, proxy, !side.unread());
-                // A close that crossed it, or a proxy that died: clients ask once more.
-                if (mayRepeat(ask)) {
-                    again(ask, Duration.ZERO);
-                }
-            }
+    @Override
+    public void over() {
+      over = true;
+      kept.get(proxy).remove(this);
+      if (out != null) {
+        Ask ask = out;
+        out = null;
+        witness.cutOff(ask, proxy, !side.unread());
+        // A close that crossed it, or a proxy that died: clients ask once more.
+        if (mayRepeat(ask)) {
+          again(ask, Duration.ZERO);
         }
+      }
     }
-
-    private void rude() {
-        clock.in(pause(Math.max(0.2, habits.rude)), () -> {
-            if (!stopped) {
-                if (habits.rude > 0) {
-                    int proxy = chance.nextInt(up.length);
-                    front.open(proxy, side -> new Rude(side, proxy), () -> { });
-                }
-                rude();
+  }
+
+  private void rude() {
+    clock.in(
+        pause(Math.max(0.2, habits.rude)),
+        () -> {
+          if (!stopped) {
+            if (habits.rude > 0) {
+              int proxy = chance.nextInt(up.length);
+              front.open(proxy, side -> new Rude(side, proxy), () -> {});
             }
+            rude();
+          }
         });
+  }
+
+  /** A connection on which comes what is no command. */
+  private final class Rude implements Talk {
+    private static final int FORMS = 12;
+
+    private final Side side;
+    private final int proxy;
+    private final Duration since = clock.now();
+    private final int form = chance.nextInt(FORMS);
+    private final Cutter cutter = new Cutter(this::line);
+    private boolean over;
+
+    Rude(Side side, int proxy) {
+      this.side = side;
+      this.proxy = proxy;
+      String id = hex();
+      String good = " O" + id + " Pc=" + offerings.get(0).name + ",d=400";
+      String sent =
+          switch (form) {
+            case 0 -> "";
+            case 1 -> "\u0001\u00fe\u0080 what\r\n";
+            case 2 -> "mg k1 v" + "x".repeat(5000);
+            case 3 -> "ms k1 -5" + good + "\r\n";
+            case 4 -> "ms k1 60000000" + good + "\r\n";
+            case 5 -> "mg k1 v O" + id + " Pc=nothing,d=400\r\n";
+            case 6 -> "mg k1 v O" + id + " Pc=" + offerings.get(0).name + ",d=soon\r\n";
+            case 7 -> "mg k1 v Pc=" + offerings.get(0).name + ",d=400\r\n";
+            case 8 -> "ms k1 5" + good + "\r\nhe";
+            case 9 -> "mn2\r\n".repeat(300);
+            case 10 -> "ms k1 5" + good + "\r\nhello, and more than said\r\n";
+            default -> "mg " + "k".repeat(300) + " v" + good + "\r\n";
+          };
+      if (!sent.isEmpty()) {
+        side.write(Buffer.buffer(sent));
+      }
+      if (form == 8 && chance.nextBoolean()) {
+        side.close();
+        over = true;
+      } else {
+        clock.in(Duration.ofMillis(3600), () -> tell(null, ""));
+      }
     }
 
-    /** A connection on which comes what is no command. */
-    private final class Rude implements Talk {
-        private static final int FORMS = 12;
-
-        private final Side side;
-        private final int proxy;
-        private final Duration since = clock.now();
-        private final int form = chance.nextInt(FORMS);
-        private final Cutter cutter = new Cutter(this::line);
-        private boolean over;
-
-        Rude(Side side, int proxy) {
-            this.side = side;
-            this.proxy = proxy;
-            String id = hex();
-            String good = " O" + id + " Pc=" + offerings.get(0).name + ",d=400";
-            String sent = switch (form) {
-                case 0 -> "";
-                case 1 -> "\u0001\u00fe\u0080 what\r\n";
-                case 2 -> "mg k1 v" + "x".repeat(5000);
-                case 3 -> "ms k1 -5" + good + "\r\n";
-                case 4 -> "ms k1 60000000" + good + "\r\n";
-                case 5 -> "mg k1 v O" + id + " Pc=nothing,d=400\r\n";
-                case 6 -> "mg k1 v O" + id + " Pc=" + offerings.get(0).name + ",d=soon\r\n";
-                case 7 -> "mg k1 v Pc=" + offerings.get(0).name + ",d=400\r\n";
-                case 8 -> "ms k1 5" + good + "\r\nhe";
-                case 9 -> "mn2\r\n".repeat(300);
-                case 10 -> "ms k1 5" + good + "\r\nhello, and more than said\r\n";
-                default -> "mg " + "k".repeat(300) + " v" + good + "\r\n";
-            };
-            if (!sent.isEmpty()) {
-                side.write(Buffer.buffer(sent));
-            }
-            if (form == 8 && chance.nextBoolean()) {
-                side.close();
-                over = true;
-            } else {
-                clock.in(Duration.ofMillis(3600), () -> tell(null, ""));
-            }
-        }
-
-        @Override
-        public void came(Buffer bytes) {
-            cutter.take(bytes);
-        }
+    @Override
+    public void came(Buffer bytes) {
+      cutter.take(bytes);
+    }
 
-        private void line(byte[] bytes, int from, int to) {
-            tell(clock.now().minus(since), Request.text(bytes, from, to));
-        }
+    private void line(byte[] bytes, int from, int to) {
+      tell(clock.now().minus(since), Request.text(bytes, from, to));
+    }
 
-        private void tell(Duration took, String answer) {
-            if (!over) {
-                over = true;
-                witness.rude(proxy, "form " + form, took, answer);
-                side.close();
-            }
-        }
+    private void tell(Duration took, String answer) {
+      if (!over) {
+        over = true;
+        witness.rude(proxy, "form " + form, took, answer);
+        side.close();
+      }
+    }
 
-        @Override
-        public void over() {
-            tell(clock.now().minus(since), "");
-        }
+    @Override
+    public void over() {
+      tell(clock.now().minus(since), "");
     }
+  }
 }
--- a/src/main/java/pathgw/standin/Front.java
+++ b/src/main/java/pathgw/standin/Front.java
@@ -4,6 +4,9 @@
 
 /** The way from clients to proxies. */
 public interface Front {
-    /** @param up gives what the client makes of the connection; {@code refused} runs where none comes up */
-    void open(int proxy, Function<Side, Talk> up, Runnable refused);
+  /**
+   * @param up gives what the client makes of the connection; {@code refused} runs where none comes
+   *     up
+   */
+  void open(int proxy, Function<Side, Talk> up, Runnable refused);
 }
--- a/src/main/java/pathgw/standin/Place.java
+++ b/src/main/java/pathgw/standin/Place.java
@@ -5,196 +5,213 @@
 import java.util.ArrayDeque;
 import java.util.Random;
 
-/** What a cache node and the origin share: connections with answers in their order, workers, mischief. */
+/**
+ * What a cache node and the origin share: connections with answers in their order, workers,
+ * mischief.
+ */
 abstract class Place {
-    final String name;
-    final Clock clock;
-    final Random chance;
-    final Witness witness;
-    final Mischief mischief;
-    private final int mostConnections;
-    private final Duration idle;
-    private int connections;
-
-    Place(String name, Clock clock, Random chance, Witness witness, Mischief mischief, int mostConnections,
-            Duration idle) {
-        this.name = name;
-        this.clock = clock;
-        this.chance = chance;
-        this.witness = witness;
-        this.mischief = mischief;
-        this.mostConnections = mostConnections;
-        this.idle = idle;
+  final String name;
+  final Clock clock;
+  final Random chance;
+  final Witness witness;
+  final Mischief mischief;
+  private final int mostConnections;
+  private final Duration idle;
+  private int connections;
+
+  Place(
+      String name,
+      Clock clock,
+      Random chance,
+      Witness witness,
+      Mischief mischief,
+      int mostConnections,
+      Duration idle) {
+    this.name = name;
+    this.clock = clock;
+    this.chance = chance;
+    this.witness = witness;
+    this.mischief = mischief;
+    this.mostConnections = mostConnections;
+    this.idle = idle;
+  }
+
+  /** What an access is owed on its connection; given once. */
+  final class Reply {
+    private final Conversation on;
+    private Buffer answer;
+    private boolean ready;
+    private boolean last;
+
+    private Reply(Conversation on) {
+      this.on = on;
     }
 
-    /** What an access is owed on its connection; given once. */
-    final class Reply {
-        private final Conversation on;
-        private Buffer answer;
-        private boolean ready;
-        private boolean last;
+    /**
+     * @param answer the whole answer; null leaves the access without one
+     */
+    void give(Buffer answer) {
+      this.answer = answer;
+      ready = true;
+      on.flush();
+    }
 
-        private Reply(Conversation on) {
-            this.on = on;
-        }
+    /** An answer that says nothing of its length: the end of its connection is its own. */
+    void giveLast(Buffer answer) {
+      last = true;
+      give(answer);
+    }
 
-        /** @param answer the whole answer; null leaves the access without one */
-        void give(Buffer answer) {
-            this.answer = answer;
-            ready = true;
-            on.flush();
-        }
+    String from() {
+      return on.from;
+    }
+  }
 
-        /** An answer that says nothing of its length: the end of its connection is its own. */
-        void giveLast(Buffer answer) {
-            last = true;
-            give(answer);
-        }
+  /**
+   * @return what it makes of the connection, or null where it takes no more
+   */
+  public final Talk accept(String from, Side side) {
+    return connections >= mostConnections ? null : new Conversation(from, side);
+  }
 
-        String from() {
-            return on.from;
-        }
-    }
+  public final int connections() {
+    return connections;
+  }
 
-    /** @return what it makes of the connection, or null where it takes no more */
-    public final Talk accept(String from, Side side) {
-        return connections >= mostConnections ? null : new Conversation(from, side);
-    }
+  abstract Requests reader(Conversation talk);
 
-    public final int connections() {
-        return connections;
-    }
+  abstract void serve(Request request, Reply reply);
 
-    abstract Requests reader(Conversation talk);
+  abstract Buffer turnedAway(Request request);
 
-    abstract void serve(Request request, Reply reply);
+  abstract Buffer failed(Request request);
 
-    abstract Buffer turnedAway(Request request);
+  /** Whether this place turns everything away. */
+  abstract boolean refuses();
 
-    abstract Buffer failed(Request request);
+  /** What cannot be told from an answer until it is read closely. */
+  abstract Buffer spoilt(Buffer answer, int form);
 
-    /** Whether this place turns everything away. */
-    abstract boolean refuses();
+  private boolean happens(double share) {
+    return share > 0 && chance.nextDouble() < share;
+  }
 
-    /** What cannot be told from an answer until it is read closely. */
-    abstract Buffer spoilt(Buffer answer, int form);
+  final void turnAway(Request request, Reply reply) {
+    witness.turnedAway(name, request);
+    reply.give(turnedAway(request));
+  }
 
-    private boolean happens(double share) {
-        return share > 0 && chance.nextDouble() < share;
-    }
+  final class Conversation implements Talk {
+    private final String from;
+    private final Side side;
+    private final Requests requests = reader(this);
+    private final ArrayDeque<Reply> owed = new ArrayDeque<>();
+    private Duration usedAt = clock.now();
+    private boolean over;
 
-    final void turnAway(Request request, Reply reply) {
-        witness.turnedAway(name, request);
-        reply.give(turnedAway(request));
+    private Conversation(String from, Side side) {
+      this.from = from;
+      this.side = side;
+      connections++;
+      closeIfIdle();
     }
 
-    final class Conversation implements Talk {
-        private final String from;
-        private final Side side;
-        private final Requests requests = reader(this);
-        private final ArrayDeque<Reply> owed = new ArrayDeque<>();
-        private Duration usedAt = clock.now();
-        private boolean over;
-
-        private Conversation(String from, Side side) {
-            this.from = from;
-            this.side = side;
-            connections++;
-            closeIfIdle();
-        }
+    private void closeIfIdle() {
+      Duration left = usedAt.plus(idle).minus(clock.now());
+      if (over) {
+        return;
+      } else if (owed.isEmpty() && left.toNanos() <= 0) {
+        side.close();
+        over();
+      } else {
+        clock.in(left.toNanos() > 0 ? left : idle, this::closeIfIdle);
+      }
+    }
 
-        private void closeIfIdle() {
-            Duration left = usedAt.plus(idle).minus(clock.now());
-            if (over) {
-                return;
-            } else if (owed.isEmpty() && left.toNanos() <= 0) {
-                side.close();
-                over();
-            } else {
-                clock.in(left.toNanos() > 0 ? left : idle, this::closeIfIdle);
-            }
-        }
+    @Override
+    public void came(Buffer bytes) {
+      if (!over) {
+        requests.take(bytes);
+      }
+    }
 
-        @Override
-        public void came(Buffer bytes) {
-            if (!over) {
-                requests.take(bytes);
-            }
-        }
+    void unreadable() {
+      side.close();
+      over();
+    }
 
-        void unreadable() {
-            side.close();
-            over();
-        }
+    void take(Request request) {
+      usedAt = clock.now();
+      if (happens(mischief.closes)) {
+        witness.turnedAway(name, request);
+        side.close();
+        over();
+        return;
+      }
+      boolean resets = happens(mischief.resets);
+      if (resets && chance.nextBoolean()) {
+        side.reset();
+        over();
+        return;
+      }
+      Reply reply = new Reply(this);
+      owed.add(reply);
+      if (refuses() || happens(mischief.busy)) {
+        turnAway(request, reply);
+      } else {
+        serve(request, reply);
+      }
+      if (resets) {
+        clock.in(
+            Duration.ofMillis(chance.nextInt(30)),
+            () -> {
+              side.reset();
+              over();
+            });
+      }
+    }
 
-        void take(Request request) {
-            usedAt = clock.now();
-            if (happens(mischief.closes)) {
-                witness.turnedAway(name, request);
-                side.close();
-                over();
-                return;
-            }
-            boolean resets = happens(mischief.resets);
-            if (resets && chance.nextBoolean()) {
-                side.reset();
-                over();
-                return;
-            }
-            Reply reply = new Reply(this);
-            owed.add(reply);
-            if (refuses() || happens(mischief.busy)) {
-                turnAway(request, reply);
-            } else {
-                serve(request, reply);
-            }
-            if (resets) {
-                clock.in(Duration.ofMillis(chance.nextInt(30)), () -> {
-                    side.reset();
-                    over();
-                });
-            }
+    private void flush() {
+      while (!over && !owed.isEmpty() && owed.peek().ready) {
+        Reply reply = owed.poll();
+        Buffer answer = reply.answer;
+        if (answer == null) {
+          // Left in the middle of nothing: what else waits on this connection waits in vain.
+          return;
         }
-
-        private void flush() {
-            while (!over && !owed.isEmpty() && owed.peek().ready) {
-                Reply reply = owed.poll();
-                Buffer answer = reply.answer;
-                if (answer == null) {
-                    // Left in the middle of nothing: what else waits on this connection waits in vain.
-                    return;
-                }
-                usedAt = clock.now();
-                if (reply.last) {
-                    end(answer);
-                } else if (happens(mischief.spoils)) {
-                    side.write(spoilt(answer, chance.nextInt(6)));
-                } else if (happens(mischief.extra) && owed.isEmpty()) {
-                    side.write(answer.copy().appendBuffer(
-                            chance.nextBoolean() ? answer : Buffer.buffer("what is this\r\n")));
-                } else {
-                    side.write(answer);
-                }
-            }
+        usedAt = clock.now();
+        if (reply.last) {
+          end(answer);
+        } else if (happens(mischief.spoils)) {
+          side.write(spoilt(answer, chance.nextInt(6)));
+        } else if (happens(mischief.extra) && owed.isEmpty()) {
+          side.write(
+              answer
+                  .copy()
+                  .appendBuffer(chance.nextBoolean() ? answer : Buffer.buffer("what is this\r\n")));
+        } else {
+          side.write(answer);
         }
+      }
+    }
 
-        private void end(Buffer answer) {
-            if (happens(mischief.resets)) {
-                side.write(answer.slice(0, answer.length() - 3));
-                clock.in(Duration.ofMillis(5), side::reset);
-            } else {
-                side.write(answer);
-                side.close();
-            }
-            over();
-        }
+    private void end(Buffer answer) {
+      if (happens(mischief.resets)) {
+        side.write(answer.slice(0, answer.length() - 3));
+        clock.in(Duration.ofMillis(5), side::reset);
+      } else {
+        side.write(answer);
+        side.close();
+      }
+      over();
+    }
 
-        @Override
-        public void over() {
-            if (!over) {
-                over = true;
-                connections--;
-            }
-        }
+    @Override
+    public void over() {
+      if (!over) {
+        over = true;
+        connections--;
+      }
     }
+  }
 }
--- a/src/main/java/pathgw/standin/Pressure.java
+++ b/src/main/java/pathgw/standin/Pressure.java
@@ -6,38 +6,40 @@
 
 /** The work that arrived within a window, against what the place bears. */
 final class Pressure {
-    private final Duration window;
-    private final double roots;
-    private final double more;
-    private final ArrayDeque<Witness.Arrival> work = new ArrayDeque<>();
+  private final Duration window;
+  private final double roots;
+  private final double more;
+  private final ArrayDeque<Witness.Arrival> work = new ArrayDeque<>();
 
-    /** @param roots of what is borne, and {@code more}: what is put down to chance */
-    Pressure(Duration window, double roots, double more) {
-        this.window = window;
-        this.roots = roots;
-        this.more = more;
-    }
+  /**
+   * @param roots of what is borne, and {@code more}: what is put down to chance
+   */
+  Pressure(Duration window, double roots, double more) {
+    this.window = window;
+    this.roots = roots;
+    this.more = more;
+  }
 
-    void arrived(Duration now, String from, String id) {
-        long since = now.minus(window).toNanos();
-        while (!work.isEmpty() && work.peek().atNanos() < since) {
-            work.poll();
-        }
-        work.add(new Witness.Arrival(now.toNanos(), from, id));
+  void arrived(Duration now, String from, String id) {
+    long since = now.minus(window).toNanos();
+    while (!work.isEmpty() && work.peek().atNanos() < since) {
+      work.poll();
     }
+    work.add(new Witness.Arrival(now.toNanos(), from, id));
+  }
 
-    /** Whether it is over what is borne in the window, with some slack for chance. */
-    boolean over(double bornePerSecond) {
-        return part(bornePerSecond) > 1;
-    }
+  /** Whether it is over what is borne in the window, with some slack for chance. */
+  boolean over(double bornePerSecond) {
+    return part(bornePerSecond) > 1;
+  }
 
-    /** How much of what is borne has come, with the same slack; over 1 it is too much. */
-    double part(double bornePerSecond) {
-        double borne = bornePerSecond * window.toNanos() / 1e9;
-        return work.size() / (borne + roots * Math.sqrt(borne) + more);
-    }
+  /** How much of what is borne has come, with the same slack; over 1 it is too much. */
+  double part(double bornePerSecond) {
+    double borne = bornePerSecond * window.toNanos() / 1e9;
+    return work.size() / (borne + roots * Math.sqrt(borne) + more);
+  }
 
-    List<Witness.Arrival> work() {
-        return List.copyOf(work);
-    }
+  List<Witness.Arrival> work() {
+    return List.copyOf(work);
+  }
 }
--- a/src/main/java/pathgw/standin/Side.java
+++ b/src/main/java/pathgw/standin/Side.java
@@ -4,16 +4,16 @@
 
 /** A stand-in's side of one connection. */
 public interface Side {
-    void write(Buffer bytes);
+  void write(Buffer bytes);
 
-    /** After what was written. */
-    void close();
+  /** After what was written. */
+  void close();
 
-    /** At once: what is on its way is lost. */
-    void reset();
+  /** At once: what is on its way is lost. */
+  void reset();
 
-    /** Whether the other side is known not to have read all that was written; sockets cannot tell. */
-    default boolean unread() {
-        return false;
-    }
+  /** Whether the other side is known not to have read all that was written; sockets cannot tell. */
+  default boolean unread() {
+    return false;
+  }
 }
--- a/src/test/java/pathgw/FirstSecondsTest.java
+++ b/src/test/java/pathgw/FirstSecondsTest.java
@@ -9,66 +9,69 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
-/** The first ten seconds after the move: 100 proxies begin at once at 64 nodes with 22 places each. */
+/**
+ * The first ten seconds after the move: 100 proxies begin at once at 64 nodes with 22 places each.
+ */
 class FirstSecondsTest {
-    private static final int PROXIES = 100;
-    private static final int NODES = 64;
-    private static final int PLACES = 22;
+  private static final int PROXIES = 100;
+  private static final int NODES = 64;
+  private static final int PLACES = 22;
 
-    private final int[] taken = new int[NODES + 1];
-    private int sent;
-    private int refused;
+  private final int[] taken = new int[NODES + 1];
+  private int sent;
+  private int refused;
 
-    private final class Proxy {
-        private final Bed bed = Bed.ofAClient(1000).list(LongStream.rangeClosed(0, NODES).toArray());
-        private final Set<Integer> open = new HashSet<>();
-        private final List<Runnable> answers = new ArrayList<>();
-        private int heard;
-        private int met;
+  private final class Proxy {
+    private final Bed bed = Bed.ofAClient(1000).list(LongStream.rangeClosed(0, NODES).toArray());
+    private final Set<Integer> open = new HashSet<>();
+    private final List<Runnable> answers = new ArrayList<>();
+    private int heard;
+    private int met;
 
-        void step(int id, long ms) {
-            bed.at(ms).pull();
-            List<Runnable> now = List.copyOf(answers);
-            answers.clear();
-            now.forEach(Runnable::run);
-            bed.asks(id, 0, 0, id * 7919L);
-            for (int number = 0; met < bed.sentTo.size(); number++) {
-                answer(id, number, bed.sentTo.get(met++).intValue());
-            }
-            for (; heard < bed.said.size(); heard++) {
-                String[] word = bed.said.get(heard).split(" ");
-                if (word[0].equals("close") && open.remove(Integer.valueOf(word[1]))) {
-                    taken[Integer.parseInt(word[1])]--;
-                }
-            }
+    void step(int id, long ms) {
+      bed.at(ms).pull();
+      List<Runnable> now = List.copyOf(answers);
+      answers.clear();
+      now.forEach(Runnable::run);
+      bed.asks(id, 0, 0, id * 7919L);
+      for (int number = 0; met < bed.sentTo.size(); number++) {
+        answer(id, number, bed.sentTo.get(met++).intValue());
+      }
+      for (; heard < bed.said.size(); heard++) {
+        String[] word = bed.said.get(heard).split(" ");
+        if (word[0].equals("close") && open.remove(Integer.valueOf(word[1]))) {
+          taken[Integer.parseInt(word[1])]--;
         }
+      }
+    }
 
-        private void answer(int id, int number, int node) {
-            sent++;
-            if (!open.contains(node) && taken[node] >= PLACES) {
-                refused++;
-                bed.outcome(id, number, How.NO_CONNECTION, 2);
-                return;
-            }
-            taken[node] += open.add(node) ? 1 : 0;
-            answers.add(() -> bed.outcome(id, number, How.DELIVERED, 90));
-        }
+    private void answer(int id, int number, int node) {
+      sent++;
+      if (!open.contains(node) && taken[node] >= PLACES) {
+        refused++;
+        bed.outcome(id, number, How.NO_CONNECTION, 2);
+        return;
+      }
+      taken[node] += open.add(node) ? 1 : 0;
+      answers.add(() -> bed.outcome(id, number, How.DELIVERED, 90));
     }
+  }
 
-    @Test
-    void noStormOfConnectionsAndFewAreRefused() {
-        List<Proxy> proxies = new ArrayList<>();
-        for (int i = 0; i < PROXIES; i++) {
-            proxies.add(new Proxy());
-        }
-        for (int tenth = 1; tenth <= 100; tenth++) {
-            for (int i = 0; i < PROXIES; i++) {
-                proxies.get(i).step(tenth * PROXIES + i, tenth * 100L);
-            }
-        }
-        assertTrue(sent > 9_000, sent + " sent");
-        assertTrue(refused < 0.1 * sent, refused + " of " + sent + " refused");
-        assertTrue(proxies.stream().allMatch(p -> p.bed.count("fetch list") == 0),
-                "nobody asks the list again");
+  @Test
+  void noStormOfConnectionsAndFewAreRefused() {
+    List<Proxy> proxies = new ArrayList<>();
+    for (int i = 0; i < PROXIES; i++) {
+      proxies.add(new Proxy());
+    }
+    for (int tenth = 1; tenth <= 100; tenth++) {
+      for (int i = 0; i < PROXIES; i++) {
+        proxies.get(i).step(tenth * PROXIES + i, tenth * 100L);
+      }
     }
+    assertTrue(sent > 9_000, sent + " sent");
+    assertTrue(refused < 0.1 * sent, refused + " of " + sent + " refused");
+    assertTrue(
+        proxies.stream().allMatch(p -> p.bed.count("fetch list") == 0),
+        "nobody asks the list again");
+  }
 }
--- a/src/test/java/pathgw/net/AgendaTest.java
+++ b/src/test/java/pathgw/net/AgendaTest.java
@@ -9,36 +9,43 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** The loop's timers, which the test lets fire in the order in which a loop that stands still does. */
+/**
+ * The loop's timers, which the test lets fire in the order in which a loop that stands still does.
+ */
 class AgendaTest {
-    private final List<Runnable> timers = new ArrayList<>();
-    private long nanos;
-    private final Agenda agenda = new Agenda(() -> nanos, 0, (span, what) -> {
-        timers.add(what);
-        return () -> timers.remove(what);
-    });
+  private final List<Runnable> timers = new ArrayList<>();
+  private long nanos;
+  private final Agenda agenda =
+      new Agenda(
+          () -> nanos,
+          0,
+          (span, what) -> {
+            timers.add(what);
+            return () -> timers.remove(what);
+          });
 
-    private void passes(long ms) {
-        nanos += Duration.ofMillis(ms).toNanos();
-    }
+  private void passes(long ms) {
+    nanos += Duration.ofMillis(ms).toNanos();
+  }
 
-    /**
-     * The loop stood still for 183 ms and at once for 207 more; the timer that ends the first was due behind
-     * the one that told of the second. Two commands that had lain unread for 370 ms were cut off as idle.
-     */
-    @Test
-    void aSecondStopIsNotOverWithTheFirst() {
-        agenda.in(Duration.ofMillis(1), () -> agenda.in(Duration.ofMillis(1), () -> { }));
-        passes(184);
-        timers.remove(0).run();
-        Runnable firstIsOver = timers.remove(0);
-        passes(208);
-        timers.remove(0).run();
-        Runnable secondIsOver = timers.remove(0);
-        firstIsOver.run();
-        assertFalse(agenda.hasReadAll(), "nothing has been read since");
-        assertEquals(Duration.ofMillis(207), agenda.behind());
-        secondIsOver.run();
-        assertTrue(agenda.hasReadAll());
-    }
+  /**
+   * The loop stood still for 183 ms and at once for 207 more; the timer that ends the first was due
+   * behind the one that told of the second. Two commands that had lain unread for 370 ms were cut
+   * off as idle.
+   */
+  @Test
+  void aSecondStopIsNotOverWithTheFirst() {
+    agenda.in(Duration.ofMillis(1), () -> agenda.in(Duration.ofMillis(1), () -> {}));
+    passes(184);
+    timers.remove(0).run();
+    Runnable firstIsOver = timers.remove(0);
+    passes(208);
+    timers.remove(0).run();
+    Runnable secondIsOver = timers.remove(0);
+    firstIsOver.run();
+    assertFalse(agenda.hasReadAll(), "nothing has been read since");
+    assertEquals(Duration.ofMillis(207), agenda.behind());
+    secondIsOver.run();
+    assertTrue(agenda.hasReadAll());
+  }
 }
--- a/src/test/java/pathgw/net/Cost.java
+++ b/src/test/java/pathgw/net/Cost.java
@@ -16,100 +16,127 @@
 import pathgw.config.Json;
 
 /**
- * What an access and a whole list cost, by the number of nodes. No test: it prints what docs/results.md says,
- * under the flags that proxies run with ({@code -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx34m}).
+ * What an access and a whole list cost, by the number of nodes. No test: it prints what
+ * docs/results.md says, under the flags that proxies run with ({@code -XX:TieredStopAtLevel=1
+ * -XX:+UseSerialGC -Xmx34m}).
  */
 final class Cost {
-    private static final Config CONFIG = Config.read(Bed.config().getBytes(StandardCharsets.UTF_8));
-    private static final int ACCESSES = 3000;
-    private static final int LISTS = 40;
+  private static final Config CONFIG = Config.read(Bed.config().getBytes(StandardCharsets.UTF_8));
+  private static final int ACCESSES = 3000;
+  private static final int LISTS = 40;
 
-    private Cost() {
-    }
+  private Cost() {}
 
-    public static void main(String[] args) {
-        for (int nodes : new int[] {12, 300, 1024}) {
-            String list = list(nodes);
-            lists(nodes, list);
-            for (int round = 0; round < 3; round++) {
-                accesses(nodes, list);
-            }
-        }
+  public static void main(String[] args) {
+    for (int nodes : new int[] {12, 300, 1024}) {
+      String list = list(nodes);
+      lists(nodes, list);
+      for (int round = 0; round < 3; round++) {
+        accesses(nodes, list);
+      }
     }
+  }
 
-    private static String list(int nodes) {
-        return "{\n  \"seq\": 5,\n  \"whole\": true,\n  \"hosts\": [" + IntStream.range(0, nodes)
-                .mapToObj(i -> "\n    {\n      \"host\": \"s-" + Integer.toHexString(i * 7919 + 1_000_000)
-                        + "\",\n      \"dial\": \"10.1." + i / 250 + "." + i % 250 + ":11211\",\n"
+  private static String list(int nodes) {
+    return "{\n  \"seq\": 5,\n  \"whole\": true,\n  \"hosts\": ["
+        + IntStream.range(0, nodes)
+            .mapToObj(
+                i ->
+                    "\n    {\n      \"host\": \"s-"
+                        + Integer.toHexString(i * 7919 + 1_000_000)
+                        + "\",\n      \"dial\": \"10.1."
+                        + i / 250
+                        + "."
+                        + i % 250
+                        + ":11211\",\n"
                         + "      \"site\": \"here\",\n      \"class\": \"std\",\n      \"block\": 3,\n"
                         + "      \"health\": \"ready\",\n      \"share\": 1.0,\n      \"born_ms\": 0\n    }")
-                .collect(Collectors.joining(",")) + "\n  ]\n}\n";
-    }
+            .collect(Collectors.joining(","))
+        + "\n  ]\n}\n";
+  }
 
-    private static Discovery discovery(Agenda agenda, Desk desk, Links links) {
-        desk.reaches(() -> { }, () -> { }, (node, success) -> { }, links::closeIdle);
-        return new Discovery(to -> Future.failedFuture("none"), agenda, desk, links, CONFIG, new Keepsake(),
-                what -> { });
-    }
+  private static Discovery discovery(Agenda agenda, Desk desk, Links links) {
+    desk.reaches(() -> {}, () -> {}, (node, success) -> {}, links::closeIdle);
+    return new Discovery(
+        to -> Future.failedFuture("none"), agenda, desk, links, CONFIG, new Keepsake(), what -> {});
+  }
 
-    private static void lists(int nodes, String text) {
-        Agenda agenda = new Agenda(System::nanoTime, 0, (span, what) -> () -> { });
-        Desk desk = new Desk(agenda, new Decide(CONFIG.settings(), 1));
-        Links links = new Links(to -> Future.failedFuture("none"), to -> Future.failedFuture("none"), agenda,
-                CONFIG, 100);
-        Discovery discovery = discovery(agenda, desk, links);
-        for (int time = 1; time <= LISTS; time++) {
-            long began = System.nanoTime();
-            List<Buffer> whole = new ArrayList<>();
-            JsonLines lines = new JsonLines(ListCall.LONGEST_BODY, whole::add, () -> { });
-            text.lines().forEach(line -> lines.take(Buffer.buffer(line)));
-            discovery.take(Json.read(whole.get(0).getBytes(), "list"), false);
-            if (time == 1 || time == LISTS) {
-                System.out.printf(Locale.ROOT, "%d nodes, list of %d bytes, time %d: %.1f ms%n", nodes,
-                        text.length(), time, (System.nanoTime() - began) / 1e6);
-            }
-        }
+  private static void lists(int nodes, String text) {
+    Agenda agenda = new Agenda(System::nanoTime, 0, (span, what) -> () -> {});
+    Desk desk = new Desk(agenda, new Decide(CONFIG.settings(), 1));
+    Links links =
+        new Links(
+            to -> Future.failedFuture("none"),
+            to -> Future.failedFuture("none"),
+            agenda,
+            CONFIG,
+            100);
+    Discovery discovery = discovery(agenda, desk, links);
+    for (int time = 1; time <= LISTS; time++) {
+      long began = System.nanoTime();
+      List<Buffer> whole = new ArrayList<>();
+      JsonLines lines = new JsonLines(ListCall.LONGEST_BODY, whole::add, () -> {});
+      text.lines().forEach(line -> lines.take(Buffer.buffer(line)));
+      discovery.take(Json.read(whole.get(0).getBytes(), "list"), false);
+      if (time == 1 || time == LISTS) {
+        System.out.printf(
+            Locale.ROOT,
+            "%d nodes, list of %d bytes, time %d: %.1f ms%n",
+            nodes,
+            text.length(),
+            time,
+            (System.nanoTime() - began) / 1e6);
+      }
     }
+  }
 
-    /** Each answered at once by the node that it goes to. */
-    private static void accesses(int nodes, String text) {
-        long[] now = {0};
-        Agenda agenda = new Agenda(() -> now[0], 0, (span, what) -> () -> { });
-        Desk desk = new Desk(agenda, new Decide(CONFIG.settings(), 1));
-        Links links = new Links(to -> Future.failedFuture("none"), to -> Future.failedFuture("none"), agenda,
-                CONFIG, 100);
-        discovery(agenda, desk, links).take(Json.read(text.getBytes(StandardCharsets.UTF_8), "list"), false);
-        long began = System.nanoTime();
-        for (int i = 0; i < ACCESSES; i++) {
-            now[0] += 20_000_000;
-            int key = i * 7919 % 5000 + 1;
-            boolean[] over = {false};
-            long id = desk.open(new Desk.Course() {
+  /** Each answered at once by the node that it goes to. */
+  private static void accesses(int nodes, String text) {
+    long[] now = {0};
+    Agenda agenda = new Agenda(() -> now[0], 0, (span, what) -> () -> {});
+    Desk desk = new Desk(agenda, new Decide(CONFIG.settings(), 1));
+    Links links =
+        new Links(
+            to -> Future.failedFuture("none"),
+            to -> Future.failedFuture("none"),
+            agenda,
+            CONFIG,
+            100);
+    discovery(agenda, desk, links)
+        .take(Json.read(text.getBytes(StandardCharsets.UTF_8), "list"), false);
+    long began = System.nanoTime();
+    for (int i = 0; i < ACCESSES; i++) {
+      now[0] += 20_000_000;
+      int key = i * 7919 % 5000 + 1;
+      boolean[] over = {false};
+      long id =
+          desk.open(
+              new Desk.Course() {
                 @Override
                 public void handOff(Duration patience, Duration sendWithin, long node) {
-                    over[0] = true;
+                  over[0] = true;
                 }
 
                 @Override
-                public void withdraw(int handOff) {
-                }
+                public void withdraw(int handOff) {}
 
                 @Override
-                public void deny(Duration comeBack) {
-                }
+                public void deny(Duration comeBack) {}
 
                 @Override
-                public void writeOff() {
-                }
-            });
-            Duration due = agenda.now().plusMillis(900);
-            desk.tell(m -> m.access(id, 0, 0, key, due, Duration.ZERO, false, false));
-            if (over[0]) {
-                desk.tell(m -> m.outcome(id, 0, How.DELIVERED, Duration.ofMillis(5), true));
-            }
-            desk.close(id);
-        }
-        System.out.printf(Locale.ROOT, "%d nodes, an access with its outcome: %.0f us%n", nodes,
-                (System.nanoTime() - began) / 1e3 / ACCESSES);
+                public void writeOff() {}
+              });
+      Duration due = agenda.now().plusMillis(900);
+      desk.tell(m -> m.access(id, 0, 0, key, due, Duration.ZERO, false, false));
+      if (over[0]) {
+        desk.tell(m -> m.outcome(id, 0, How.DELIVERED, Duration.ofMillis(5), true));
+      }
+      desk.close(id);
     }
+    System.out.printf(
+        Locale.ROOT,
+        "%d nodes, an access with its outcome: %.0f us%n",
+        nodes,
+        (System.nanoTime() - began) / 1e3 / ACCESSES);
+  }
 }
--- a/src/test/java/pathgw/net/CrossingTest.java
+++ b/src/test/java/pathgw/net/CrossingTest.java
@@ -14,327 +14,371 @@
 import org.junit.jupiter.api.Timeout;
 import pathgw.net.RawWorld.Peer;
 
-/** What comes in the very moment in which something else is done, on real sockets, the crossing forced. */
+/**
+ * What comes in the very moment in which something else is done, on real sockets, the crossing
+ * forced.
+ */
 @Timeout(30)
 class CrossingTest {
-    private static final String ORIGIN = "HTTP/1.1 200 OK\r\n";
+  private static final String ORIGIN = "HTTP/1.1 200 OK\r\n";
 
-    // Clients that have gone.
+  // Clients that have gone.
 
-    /** Both lie at the machine together: the client has gone for as long as the loop stood still. */
-    @Test
-    void ofAFloodWithACloseBehindItNothingIsSentOn() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            // A connection that rests: what is sent on goes out at once.
-            Peer first = world.client();
-            String id = world.id();
-            Peer at = world.carries(first, id);
-            at.sends(RawWorld.value(id));
-            first.line();
-            Thread.sleep(20);
-            world.held(150, () -> {
-                Peer client = world.client();
-                for (int n = 0; n < 40; n++) {
-                    client.sends(RawWorld.read(world.id()));
-                }
-                client.socket.close();
-            });
-            world.eventually("all have gone", () -> world.proxy.held().accesses() == 0);
-            first.sends(RawWorld.read("end"));
-            Peer other = world.node.nextNow();
-            String line = at.line();
-            assertTrue(line.isEmpty() && other != null || line.contains("Oend"), line);
-        }
-    }
-
-    /** Sixteen are owed and no more is read: what is out for that client must end all the same. */
-    @Test
-    void aCloseIsSeenWhileNoMoreIsReadFromAClient() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
+  /** Both lie at the machine together: the client has gone for as long as the loop stood still. */
+  @Test
+  void ofAFloodWithACloseBehindItNothingIsSentOn() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      // A connection that rests: what is sent on goes out at once.
+      Peer first = world.client();
+      String id = world.id();
+      Peer at = world.carries(first, id);
+      at.sends(RawWorld.value(id));
+      first.line();
+      Thread.sleep(20);
+      world.held(
+          150,
+          () -> {
             Peer client = world.client();
-            for (int n = 0; n < 100; n++) {
-                client.sends(RawWorld.read(world.id()));
-            }
-            List<Peer> out = new ArrayList<>();
-            for (int n = 0; n < 4; n++) {
-                out.add(world.node.next());
+            for (int n = 0; n < 40; n++) {
+              client.sends(RawWorld.read(world.id()));
             }
             client.socket.close();
-            for (Peer at : out) {
-                assertTrue(at.rest().startsWith("mg "), "given up as soon as the client had gone");
-            }
-            world.eventually("nothing is held for it", () -> world.proxy.held().accesses() == 0
-                    && world.proxy.held().clients() == 0);
-        }
+          });
+      world.eventually("all have gone", () -> world.proxy.held().accesses() == 0);
+      first.sends(RawWorld.read("end"));
+      Peer other = world.node.nextNow();
+      String line = at.line();
+      assertTrue(line.isEmpty() && other != null || line.contains("Oend"), line);
     }
+  }
 
-    @Test
-    void aClientThatEndsItsSideOnlyHasGoneToo() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            Peer at = world.carries(client, world.id());
-            client.socket.shutdownOutput();
-            assertEquals("", at.rest());
-            world.eventually("nothing is held for it", () -> world.proxy.held().accesses() == 0);
-        }
+  /** Sixteen are owed and no more is read: what is out for that client must end all the same. */
+  @Test
+  void aCloseIsSeenWhileNoMoreIsReadFromAClient() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      for (int n = 0; n < 100; n++) {
+        client.sends(RawWorld.read(world.id()));
+      }
+      List<Peer> out = new ArrayList<>();
+      for (int n = 0; n < 4; n++) {
+        out.add(world.node.next());
+      }
+      client.socket.close();
+      for (Peer at : out) {
+        assertTrue(at.rest().startsWith("mg "), "given up as soon as the client had gone");
+      }
+      world.eventually(
+          "nothing is held for it",
+          () -> world.proxy.held().accesses() == 0 && world.proxy.held().clients() == 0);
     }
+  }
 
-    @Test
-    void aConnectionThatComesUpAfterItsClientHasGoneCarriesNothing() throws Exception {
-        RawWorld.LateDials[] late = {null};
-        try (RawWorld world = new RawWorld(outside -> late[0] = new RawWorld.LateDials(outside),
-                text -> text.replace("\"cancel\": true", "\"cancel\": false")).knows()) {
-            late[0].port = world.node.port();
-            Peer client = world.client();
-            client.sends(RawWorld.read(world.id()));
-            Runnable dial = late[0].waiting.poll(RawWorld.PATIENCE_MS, TimeUnit.MILLISECONDS);
-            client.socket.close();
-            world.eventually("the client has gone", () -> world.proxy.held().clients() == 0);
-            world.loop.runOnContext(now -> dial.run());
-            Peer at = world.node.next();
-            at.socket.setSoTimeout(200);
-            try {
-                assertEquals("", at.line(), "an attempt began for a client that had gone");
-            } catch (java.net.SocketTimeoutException nothing) {
-                // As it should be: it stands idle.
-            }
-        }
+  @Test
+  void aClientThatEndsItsSideOnlyHasGoneToo() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      Peer at = world.carries(client, world.id());
+      client.socket.shutdownOutput();
+      assertEquals("", at.rest());
+      world.eventually("nothing is held for it", () -> world.proxy.held().accesses() == 0);
     }
+  }
 
-    // Ends over unread bytes.
-
-    /** At the stop an answer goes out while the next command lies unread: it must reach its client whole. */
-    @Test
-    void theLastAnswerIsNotTakenAlongByAReset() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            String id = world.id();
-            Peer at = world.carries(client, id);
-            Future<Void> stopped = world.stop();
-            Thread.sleep(600);
-            world.held(5, () -> {
-                at.sends(RawWorld.value(id));
-                client.sends(RawWorld.read(world.id()));
-            });
-            String told = client.rest();
-            assertTrue(told.equals(RawWorld.value(id))
-                    || told.equals(RawWorld.value(id) + "SERVER_ERROR busy\r\n"), told);
-            client.socket.close();
-            RawWorld.done(stopped);
-        }
+  @Test
+  void aConnectionThatComesUpAfterItsClientHasGoneCarriesNothing() throws Exception {
+    RawWorld.LateDials[] late = {null};
+    try (RawWorld world =
+        new RawWorld(
+                outside -> late[0] = new RawWorld.LateDials(outside),
+                text -> text.replace("\"cancel\": true", "\"cancel\": false"))
+            .knows()) {
+      late[0].port = world.node.port();
+      Peer client = world.client();
+      client.sends(RawWorld.read(world.id()));
+      Runnable dial = late[0].waiting.poll(RawWorld.PATIENCE_MS, TimeUnit.MILLISECONDS);
+      client.socket.close();
+      world.eventually("the client has gone", () -> world.proxy.held().clients() == 0);
+      world.loop.runOnContext(now -> dial.run());
+      Peer at = world.node.next();
+      at.socket.setSoTimeout(200);
+      try {
+        assertEquals("", at.line(), "an attempt began for a client that had gone");
+      } catch (java.net.SocketTimeoutException nothing) {
+        // As it should be: it stands idle.
+      }
     }
+  }
 
-    /** Read while an answer is owed it counts as taken, whatever ends the connection behind that answer. */
-    @Test
-    void aCommandReadBeforeTheEndIsAnswered() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            String id = world.id();
-            Peer at = world.carries(client, id);
-            Future<Void> stopped = world.stop();
-            Thread.sleep(600);
-            client.sends(RawWorld.read(world.id()));
-            Thread.sleep(100);
+  // Ends over unread bytes.
+
+  /**
+   * At the stop an answer goes out while the next command lies unread: it must reach its client
+   * whole.
+   */
+  @Test
+  void theLastAnswerIsNotTakenAlongByAReset() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      String id = world.id();
+      Peer at = world.carries(client, id);
+      Future<Void> stopped = world.stop();
+      Thread.sleep(600);
+      world.held(
+          5,
+          () -> {
             at.sends(RawWorld.value(id));
-            assertEquals(RawWorld.value(id) + "SERVER_ERROR busy\r\n", client.rest());
-            client.socket.close();
-            RawWorld.done(stopped);
-        }
+            client.sends(RawWorld.read(world.id()));
+          });
+      String told = client.rest();
+      assertTrue(
+          told.equals(RawWorld.value(id))
+              || told.equals(RawWorld.value(id) + "SERVER_ERROR busy\r\n"),
+          told);
+      client.socket.close();
+      RawWorld.done(stopped);
     }
+  }
 
-    /** It comes while the proxy has told the client that it ends: resent by the client, never sent on. */
-    @Test
-    void aCommandThatCrossesTheEndIsNotSentOn() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            client.sends("mn\r\n");
-            assertEquals("MN\r\n", client.line());
-            Future<Void> stopped = world.stop();
-            assertEquals("", client.rest(), "an end, not a reset");
-            client.sends(RawWorld.read(world.id()));
-            RawWorld.done(stopped);
-            assertNull(world.node.nextNow());
-        }
+  /**
+   * Read while an answer is owed it counts as taken, whatever ends the connection behind that
+   * answer.
+   */
+  @Test
+  void aCommandReadBeforeTheEndIsAnswered() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      String id = world.id();
+      Peer at = world.carries(client, id);
+      Future<Void> stopped = world.stop();
+      Thread.sleep(600);
+      client.sends(RawWorld.read(world.id()));
+      Thread.sleep(100);
+      at.sends(RawWorld.value(id));
+      assertEquals(RawWorld.value(id) + "SERVER_ERROR busy\r\n", client.rest());
+      client.socket.close();
+      RawWorld.done(stopped);
     }
+  }
 
-    @Test
-    void whoComesAfterTheStopIsToldSo() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            String id = world.id();
-            Peer at = world.carries(client, id);
-            Future<Void> stopped = world.stop();
-            Thread.sleep(600);
-            Peer late = world.client();
-            late.sends(RawWorld.read(world.id()));
-            assertEquals("SERVER_ERROR busy\r\n", late.rest());
-            late.socket.close();
-            at.sends(RawWorld.value(id));
-            assertEquals(RawWorld.value(id), client.rest());
-            client.socket.close();
-            RawWorld.done(stopped);
-        }
+  /**
+   * It comes while the proxy has told the client that it ends: resent by the client, never sent on.
+   */
+  @Test
+  void aCommandThatCrossesTheEndIsNotSentOn() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      client.sends("mn\r\n");
+      assertEquals("MN\r\n", client.line());
+      Future<Void> stopped = world.stop();
+      assertEquals("", client.rest(), "an end, not a reset");
+      client.sends(RawWorld.read(world.id()));
+      RawWorld.done(stopped);
+      assertNull(world.node.nextNow());
+    }
+  }
+
+  @Test
+  void whoComesAfterTheStopIsToldSo() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      String id = world.id();
+      Peer at = world.carries(client, id);
+      Future<Void> stopped = world.stop();
+      Thread.sleep(600);
+      Peer late = world.client();
+      late.sends(RawWorld.read(world.id()));
+      assertEquals("SERVER_ERROR busy\r\n", late.rest());
+      late.socket.close();
+      at.sends(RawWorld.value(id));
+      assertEquals(RawWorld.value(id), client.rest());
+      client.socket.close();
+      RawWorld.done(stopped);
     }
+  }
 
-    // Attempts given up.
+  // Attempts given up.
 
-    /** A write that never was whole may be sent elsewhere: so the rest of it must not go out any more. */
-    @Test
-    void ofWhatIsClosedHalfWrittenTheRestNeverGoesOut() throws Exception {
-        try (RawWorld.Door door = new RawWorld.Door(peer -> { }); RawWorld world = new RawWorld()) {
-            int size = 32 << 20;
-            VertxOutside outside = new VertxOutside(world.vertx);
-            io.vertx.core.Promise<Pipe.Over> over = io.vertx.core.Promise.promise();
-            world.loop.runOnContext(now -> outside.dial(new pathgw.config.Address("127.0.0.1", door.port()),
-                    java.time.Duration.ofSeconds(2)).onSuccess(pipe -> {
+  /**
+   * A write that never was whole may be sent elsewhere: so the rest of it must not go out any more.
+   */
+  @Test
+  void ofWhatIsClosedHalfWrittenTheRestNeverGoesOut() throws Exception {
+    try (RawWorld.Door door = new RawWorld.Door(peer -> {});
+        RawWorld world = new RawWorld()) {
+      int size = 32 << 20;
+      VertxOutside outside = new VertxOutside(world.vertx);
+      io.vertx.core.Promise<Pipe.Over> over = io.vertx.core.Promise.promise();
+      world.loop.runOnContext(
+          now ->
+              outside
+                  .dial(
+                      new pathgw.config.Address("127.0.0.1", door.port()),
+                      java.time.Duration.ofSeconds(2))
+                  .onSuccess(
+                      pipe -> {
                         pipe.whenOver(over::complete);
                         pipe.write(io.vertx.core.buffer.Buffer.buffer(new byte[size]));
                         pipe.close();
-                    }));
-            Peer peer = door.next();
-            // Not read before: a peer that reads as fast as this side writes could have had it all in time.
-            RawWorld.done(over.future());
-            int got = 0;
-            byte[] some = new byte[1 << 16];
-            try {
-                int n;
-                while ((n = peer.socket.getInputStream().read(some)) >= 0) {
-                    got += n;
-                }
-            } catch (SocketException reset) {
-                // As good as an end.
-            }
-            assertTrue(got < size, got + " of " + size);
+                      }));
+      Peer peer = door.next();
+      // Not read before: a peer that reads as fast as this side writes could have had it all in
+      // time.
+      RawWorld.done(over.future());
+      int got = 0;
+      byte[] some = new byte[1 << 16];
+      try {
+        int n;
+        while ((n = peer.socket.getInputStream().read(some)) >= 0) {
+          got += n;
         }
+      } catch (SocketException reset) {
+        // As good as an end.
+      }
+      assertTrue(got < size, got + " of " + size);
     }
+  }
 
-    /** One that reads nothing must not keep its place for good: a close does not wait for it. */
-    @Test
-    void aConnectionIsClosedThoughItsPeerReadsNothing() throws Exception {
-        try (RawWorld.Door door = new RawWorld.Door(peer -> { }); RawWorld world = new RawWorld()) {
-            VertxOutside outside = new VertxOutside(world.vertx);
-            io.vertx.core.Promise<Pipe.Over> over = io.vertx.core.Promise.promise();
-            world.loop.runOnContext(now -> outside.dial(new pathgw.config.Address("127.0.0.1", door.port()),
-                    java.time.Duration.ofSeconds(2)).onSuccess(pipe -> {
+  /** One that reads nothing must not keep its place for good: a close does not wait for it. */
+  @Test
+  void aConnectionIsClosedThoughItsPeerReadsNothing() throws Exception {
+    try (RawWorld.Door door = new RawWorld.Door(peer -> {});
+        RawWorld world = new RawWorld()) {
+      VertxOutside outside = new VertxOutside(world.vertx);
+      io.vertx.core.Promise<Pipe.Over> over = io.vertx.core.Promise.promise();
+      world.loop.runOnContext(
+          now ->
+              outside
+                  .dial(
+                      new pathgw.config.Address("127.0.0.1", door.port()),
+                      java.time.Duration.ofSeconds(2))
+                  .onSuccess(
+                      pipe -> {
                         pipe.whenOver(over::complete);
                         pipe.write(io.vertx.core.buffer.Buffer.buffer(new byte[32 << 20]));
                         pipe.close();
-                    }));
-            door.next();
-            assertEquals(Pipe.Over.BROKEN, RawWorld.done(over.future()));
-        }
+                      }));
+      door.next();
+      assertEquals(Pipe.Over.BROKEN, RawWorld.done(over.future()));
     }
+  }
 
-    // Answers that are cut, and that come late.
+  // Answers that are cut, and that come late.
 
-    /** The client misses at the node and is given to the origin. */
-    private static Peer atOrigin(RawWorld world, Peer client, String id) throws Exception {
-        Peer at = world.carries(client, id);
-        at.sends("EN O" + id + "\r\n");
-        Peer origin = world.origin.next();
-        while (!origin.line().equals("\r\n")) {
-            // The head.
-        }
-        return origin;
+  /** The client misses at the node and is given to the origin. */
+  private static Peer atOrigin(RawWorld world, Peer client, String id) throws Exception {
+    Peer at = world.carries(client, id);
+    at.sends("EN O" + id + "\r\n");
+    Peer origin = world.origin.next();
+    while (!origin.line().equals("\r\n")) {
+      // The head.
     }
+    return origin;
+  }
 
-    @Test
-    void anAnswerWithoutLengthThatIsResetReachesNobody() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            Peer origin = atOrigin(world, client, world.id());
-            world.held(0, () -> {
-                origin.sends(ORIGIN + "\r\nhalf of wh");
-                origin.resets();
-            });
-            Peer again = world.origin.next();
-            while (!again.line().equals("\r\n")) {
-                // The head.
-            }
-            again.sends(ORIGIN + "\r\nwhole");
-            again.socket.close();
-            assertTrue(client.line().startsWith("VA 5 "));
-            assertEquals("whole\r\n", client.line());
-        }
+  @Test
+  void anAnswerWithoutLengthThatIsResetReachesNobody() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      Peer origin = atOrigin(world, client, world.id());
+      world.held(
+          0,
+          () -> {
+            origin.sends(ORIGIN + "\r\nhalf of wh");
+            origin.resets();
+          });
+      Peer again = world.origin.next();
+      while (!again.line().equals("\r\n")) {
+        // The head.
+      }
+      again.sends(ORIGIN + "\r\nwhole");
+      again.socket.close();
+      assertTrue(client.line().startsWith("VA 5 "));
+      assertEquals("whole\r\n", client.line());
     }
+  }
 
-    /** The second copy is on its way when the connection is wanted for the next command. */
-    @Test
-    void aSecondAnswerOfTheOriginDoesNotMeetTheNextCommand() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            Peer origin = atOrigin(world, client, world.id());
-            origin.sends(ORIGIN + "Content-Length: 3\r\n\r\none");
-            assertTrue(client.line().startsWith("VA 3 "));
-            assertEquals("one\r\n", client.line());
-            Thread.sleep(5);
-            String next = world.id();
-            Peer other = world.client();
-            other.sends(RawWorld.write(next));
-            Peer second = world.origin.next();
-            while (!second.line().equals("\r\n")) {
-                // The head.
-            }
-            origin.sends(ORIGIN + "Content-Length: 3\r\n\r\none");
-            second.sends(ORIGIN + "Content-Length: 3\r\n\r\ntwo");
-            assertEquals("HD O" + next + " ctwo\r\n", other.line());
-        }
+  /** The second copy is on its way when the connection is wanted for the next command. */
+  @Test
+  void aSecondAnswerOfTheOriginDoesNotMeetTheNextCommand() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      Peer origin = atOrigin(world, client, world.id());
+      origin.sends(ORIGIN + "Content-Length: 3\r\n\r\none");
+      assertTrue(client.line().startsWith("VA 3 "));
+      assertEquals("one\r\n", client.line());
+      Thread.sleep(5);
+      String next = world.id();
+      Peer other = world.client();
+      other.sends(RawWorld.write(next));
+      Peer second = world.origin.next();
+      while (!second.line().equals("\r\n")) {
+        // The head.
+      }
+      origin.sends(ORIGIN + "Content-Length: 3\r\n\r\none");
+      second.sends(ORIGIN + "Content-Length: 3\r\n\r\ntwo");
+      assertEquals("HD O" + next + " ctwo\r\n", other.line());
     }
+  }
 
-    @Test
-    void halfALineAndACloseAnswersNothing() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            String id = world.id();
-            Peer at = world.carries(client, id);
-            world.held(0, () -> {
-                at.sends("VA 2 O" + id + "\r\nh");
-                at.socket.close();
-            });
-            Peer again = world.node.nextNow();
-            // One node: it goes on to nowhere, or there again; in no case to the client.
-            String told = client.line();
-            assertFalse(told.startsWith("VA"), told + again);
-        }
+  @Test
+  void halfALineAndACloseAnswersNothing() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      String id = world.id();
+      Peer at = world.carries(client, id);
+      world.held(
+          0,
+          () -> {
+            at.sends("VA 2 O" + id + "\r\nh");
+            at.socket.close();
+          });
+      Peer again = world.node.nextNow();
+      // One node: it goes on to nowhere, or there again; in no case to the client.
+      String told = client.line();
+      assertFalse(told.startsWith("VA"), told + again);
     }
+  }
 
-    // What attempts tell.
+  // What attempts tell.
 
-    /** The time that an attempt at the origin tells, from its head. */
-    private static long toldTime(Peer origin) throws Exception {
-        long told = -1;
-        for (String line = origin.line(); !line.equals("\r\n"); line = origin.line()) {
-            told = line.startsWith("X-Labels: ")
-                    ? Long.parseLong(line.trim().replaceFirst(".*[:,]d=(\\d+).*", "$1")) : told;
-        }
-        return told;
+  /** The time that an attempt at the origin tells, from its head. */
+  private static long toldTime(Peer origin) throws Exception {
+    long told = -1;
+    for (String line = origin.line(); !line.equals("\r\n"); line = origin.line()) {
+      told =
+          line.startsWith("X-Labels: ")
+              ? Long.parseLong(line.trim().replaceFirst(".*[:,]d=(\\d+).*", "$1"))
+              : told;
     }
+    return told;
+  }
 
-    @Test
-    void aFetchAfterALateMissTellsTheOriginTheTimeThatIsLeft() throws Exception {
-        try (RawWorld world = new RawWorld().knows()) {
-            Peer client = world.client();
-            String id = world.id();
-            Peer at = world.carries(client, id);
-            Thread.sleep(200);
-            at.sends("EN O" + id + "\r\n");
-            long told = toldTime(world.origin.next());
-            assertTrue(told > 0 && told <= 1400 - 200, "told " + told + " of 1400 ms, 200 ms later");
-        }
+  @Test
+  void aFetchAfterALateMissTellsTheOriginTheTimeThatIsLeft() throws Exception {
+    try (RawWorld world = new RawWorld().knows()) {
+      Peer client = world.client();
+      String id = world.id();
+      Peer at = world.carries(client, id);
+      Thread.sleep(200);
+      at.sends("EN O" + id + "\r\n");
+      long told = toldTime(world.origin.next());
+      assertTrue(told > 0 && told <= 1400 - 200, "told " + told + " of 1400 ms, 200 ms later");
     }
+  }
 
-    @Test
-    void aWriteWhoseConnectionComesUpLateTellsTheOriginTheTimeThatIsLeft() throws Exception {
-        RawWorld.LateDials[] late = {null};
-        try (RawWorld world = new RawWorld(outside -> late[0] = new RawWorld.LateDials(outside),
-                text -> text).knows()) {
-            late[0].port = world.origin.port();
-            world.client().sends(RawWorld.write(world.id()));
-            Runnable dial = late[0].waiting.poll(RawWorld.PATIENCE_MS, TimeUnit.MILLISECONDS);
-            Thread.sleep(100);
-            world.loop.runOnContext(now -> dial.run());
-            long told = toldTime(world.origin.next());
-            assertTrue(told > 0 && told <= 290 - 100, "told " + told + " of 290 ms, 100 ms later");
-        }
+  @Test
+  void aWriteWhoseConnectionComesUpLateTellsTheOriginTheTimeThatIsLeft() throws Exception {
+    RawWorld.LateDials[] late = {null};
+    try (RawWorld world =
+        new RawWorld(outside -> late[0] = new RawWorld.LateDials(outside), text -> text).knows()) {
+      late[0].port = world.origin.port();
+      world.client().sends(RawWorld.write(world.id()));
+      Runnable dial = late[0].waiting.poll(RawWorld.PATIENCE_MS, TimeUnit.MILLISECONDS);
+      Thread.sleep(100);
+      world.loop.runOnContext(now -> dial.run());
+      long told = toldTime(world.origin.next());
+      assertTrue(told > 0 && told <= 290 - 100, "told " + told + " of 290 ms, 100 ms later");
     }
+  }
 }
--- a/src/test/java/pathgw/net/HeldOutside.java
+++ b/src/test/java/pathgw/net/HeldOutside.java
@@ -10,61 +10,62 @@
 import pathgw.Bed;
 import pathgw.config.Address;
 
-/** A world that the test holds: time passes when it says so, connections and datagrams come from it. */
+/**
+ * A world that the test holds: time passes when it says so, connections and datagrams come from it.
+ */
 final class HeldOutside implements Outside {
-    private record Timer(long at, Runnable what) {
-    }
+  private record Timer(long at, Runnable what) {}
 
-    final List<Bed.Socket> dialled = new ArrayList<>();
-    Consumer<Pipe> arrives;
-    BiConsumer<Buffer, Address> heard;
-    private final List<Timer> timers = new ArrayList<>();
-    private long nanos;
+  final List<Bed.Socket> dialled = new ArrayList<>();
+  Consumer<Pipe> arrives;
+  BiConsumer<Buffer, Address> heard;
+  private final List<Timer> timers = new ArrayList<>();
+  private long nanos;
 
-    void pass(long ms) {
-        for (long i = 0; i < ms; i++) {
-            nanos += 1_000_000;
-            for (Timer t : List.copyOf(timers)) {
-                if (t.at <= nanos && timers.remove(t)) {
-                    t.what.run();
-                }
-            }
+  void pass(long ms) {
+    for (long i = 0; i < ms; i++) {
+      nanos += 1_000_000;
+      for (Timer t : List.copyOf(timers)) {
+        if (t.at <= nanos && timers.remove(t)) {
+          t.what.run();
         }
+      }
     }
+  }
 
-    @Override
-    public long nanos() {
-        return nanos;
-    }
+  @Override
+  public long nanos() {
+    return nanos;
+  }
 
-    @Override
-    public long unixMillis() {
-        return 1_000_000;
-    }
+  @Override
+  public long unixMillis() {
+    return 1_000_000;
+  }
 
-    @Override
-    public Runnable after(Duration span, Runnable what) {
-        Timer timer = new Timer(nanos + span.toNanos(), what);
-        timers.add(timer);
-        return () -> timers.remove(timer);
-    }
+  @Override
+  public Runnable after(Duration span, Runnable what) {
+    Timer timer = new Timer(nanos + span.toNanos(), what);
+    timers.add(timer);
+    return () -> timers.remove(timer);
+  }
 
-    @Override
-    public Future<Pipe> dial(Address to, Duration within) {
-        Bed.Socket socket = new Bed.Socket();
-        dialled.add(socket);
-        return Future.succeededFuture(socket);
-    }
+  @Override
+  public Future<Pipe> dial(Address to, Duration within) {
+    Bed.Socket socket = new Bed.Socket();
+    dialled.add(socket);
+    return Future.succeededFuture(socket);
+  }
 
-    @Override
-    public Future<Integer> listen(Address at, Consumer<Pipe> arrived) {
-        arrives = arrived;
-        return Future.succeededFuture(at.port());
-    }
+  @Override
+  public Future<Integer> listen(Address at, Consumer<Pipe> arrived) {
+    arrives = arrived;
+    return Future.succeededFuture(at.port());
+  }
 
-    @Override
-    public BiConsumer<Buffer, Address> datagrams(Address at, BiConsumer<Buffer, Address> heard) {
-        this.heard = heard;
-        return (bytes, to) -> { };
-    }
+  @Override
+  public BiConsumer<Buffer, Address> datagrams(Address at, BiConsumer<Buffer, Address> heard) {
+    this.heard = heard;
+    return (bytes, to) -> {};
+  }
 }
