--- a/src/test/java/pathgw/net/SizeTest.java
+++ b/src/test/java/pathgw/net/SizeTest.java
@@ -18,83 +18,113 @@
 
 /** A thousand proxies before a thousand cache nodes, as one of them sees it. */
 class SizeTest {
-    private static final int MANY = 1024;
+  private static final int MANY = 1024;
 
-    /** The longest that a name on a network may be. */
-    private static String host(int i) {
-        return "s" + i + "-".repeat(252 - Integer.toString(i).length());
-    }
+  /** The longest that a name on a network may be. */
+  private static String host(int i) {
+    return "s" + i + "-".repeat(252 - Integer.toString(i).length());
+  }
 
-    /** Deep enough that a list is longer than 1 MiB, which once was the bound. */
-    private static final String NEXT = ",\n" + " ".repeat(100);
+  /** Deep enough that a list is longer than 1 MiB, which once was the bound. */
+  private static final String NEXT = ",\n" + " ".repeat(100);
 
-    private static String hosts(String health) {
-        return IntStream.range(0, MANY).mapToObj(i -> String.join(NEXT, "{\"host\": \"" + host(i) + "\"",
-                "\"dial\": \"10.1." + i / 250 + "." + i % 250 + ":11211\"", "\"site\": \"here\"",
-                "\"class\": \"std\"", "\"block\": 3", "\"health\": \"" + health + "\"", "\"share\": 1.0",
-                "\"born_ms\": 0}")).collect(Collectors.joining(",\n"));
-    }
+  private static String hosts(String health) {
+    return IntStream.range(0, MANY)
+        .mapToObj(
+            i ->
+                String.join(
+                    NEXT,
+                    "{\"host\": \"" + host(i) + "\"",
+                    "\"dial\": \"10.1." + i / 250 + "." + i % 250 + ":11211\"",
+                    "\"site\": \"here\"",
+                    "\"class\": \"std\"",
+                    "\"block\": 3",
+                    "\"health\": \"" + health + "\"",
+                    "\"share\": 1.0",
+                    "\"born_ms\": 0}"))
+        .collect(Collectors.joining(",\n"));
+  }
 
-    private static String list(int seq, String health) {
-        return "{\n  \"seq\": " + seq + ",\n  \"whole\": true,\n  \"hosts\": [\n" + hosts(health)
-                + "\n  ]\n}\n";
-    }
+  private static String list(int seq, String health) {
+    return "{\n  \"seq\": "
+        + seq
+        + ",\n  \"whole\": true,\n  \"hosts\": [\n"
+        + hosts(health)
+        + "\n  ]\n}\n";
+  }
 
-    private final HeldOutside outside = new HeldOutside();
+  private final HeldOutside outside = new HeldOutside();
 
-    private Future<Pipe> dial(Address to) {
-        return outside.dial(to, Duration.ZERO);
-    }
+  private Future<Pipe> dial(Address to) {
+    return outside.dial(to, Duration.ZERO);
+  }
 
-    @Test
-    void aThousandPeersAndAThousandNodesAreTakenWhole() {
-        String peers = IntStream.range(0, MANY).mapToObj(i -> "\"10.9." + i / 250 + "." + i % 250 + ":7946\"")
-                .collect(Collectors.joining(","));
-        Config config = Config.read(Bed.config().replaceFirst("\\{", "{\"peer_listen\": \"10.9.0.0:7946\", "
-                + "\"peers_all\": \"10.9.255.1:7946\", \"peers\": [" + peers + "],\n\"known\": "
-                + list(1, "draining") + ",").replace("\"instances\": 1", "\"instances\": " + MANY)
+  @Test
+  void aThousandPeersAndAThousandNodesAreTakenWhole() {
+    String peers =
+        IntStream.range(0, MANY)
+            .mapToObj(i -> "\"10.9." + i / 250 + "." + i % 250 + ":7946\"")
+            .collect(Collectors.joining(","));
+    Config config =
+        Config.read(
+            Bed.config()
+                .replaceFirst(
+                    "\\{",
+                    "{\"peer_listen\": \"10.9.0.0:7946\", "
+                        + "\"peers_all\": \"10.9.255.1:7946\", \"peers\": ["
+                        + peers
+                        + "],\n\"known\": "
+                        + list(1, "draining")
+                        + ",")
+                .replace("\"instances\": 1", "\"instances\": " + MANY)
                 .getBytes(StandardCharsets.UTF_8));
-        assertEquals(MANY, config.peers().size());
-        assertEquals(MANY, config.settings().proxies());
-        Agenda agenda = new Agenda(outside::nanos, outside.unixMillis(), outside::after);
-        Desk desk = new Desk(agenda, new Decide(config.settings(), 1));
-        Links links = new Links(this::dial, this::dial, agenda, config, 400);
-        Discovery discovery = new Discovery(this::dial, agenda, desk, links, config, new Keepsake(),
-                what -> { });
-        Peers others = new Peers(outside, desk, config);
-        desk.reaches(discovery::watch, discovery::fetch, others::tell, links::closeIdle);
-        discovery.take(config.known().get(), true);
-        assertEquals(MANY, links.members().size());
+    assertEquals(MANY, config.peers().size());
+    assertEquals(MANY, config.settings().proxies());
+    Agenda agenda = new Agenda(outside::nanos, outside.unixMillis(), outside::after);
+    Desk desk = new Desk(agenda, new Decide(config.settings(), 1));
+    Links links = new Links(this::dial, this::dial, agenda, config, 400);
+    Discovery discovery =
+        new Discovery(this::dial, agenda, desk, links, config, new Keepsake(), what -> {});
+    Peers others = new Peers(outside, desk, config);
+    desk.reaches(discovery::watch, discovery::fetch, others::tell, links::closeIdle);
+    discovery.take(config.known().get(), true);
+    assertEquals(MANY, links.members().size());
 
-        String whole = list(2, "ready");
-        assertTrue(whole.length() > 1 << 20, whole.length() + " bytes");
-        // Bytes come as the network cuts them.
-        String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + Integer.toHexString(whole.length()) + "\r\n" + whole + "\r\n";
-        for (int at = 0; at < answer.length(); at += 16_384) {
-            outside.dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
-        }
-        Life life = new Life(agenda, desk, links, config.answerSlack(), Watcher.NONE);
-        RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), agenda);
-        for (int i = 0; i < 200; i++) {
-            Bed.Socket asks = new Bed.Socket();
-            new Client(asks, config, agenda, life, limitedLog, c -> { });
-            asks.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
-        }
-        long nodes = outside.dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
-        assertTrue(nodes > 150, nodes + " nodes of a thousand have 200 keys");
+    String whole = list(2, "ready");
+    assertTrue(whole.length() > 1 << 20, whole.length() + " bytes");
+    // Bytes come as the network cuts them.
+    String answer =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(whole.length())
+            + "\r\n"
+            + whole
+            + "\r\n";
+    for (int at = 0; at < answer.length(); at += 16_384) {
+      outside.dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
+    }
+    Life life = new Life(agenda, desk, links, config.answerSlack(), Watcher.NONE);
+    RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), agenda);
+    for (int i = 0; i < 200; i++) {
+      Bed.Socket asks = new Bed.Socket();
+      new Client(asks, config, agenda, life, limitedLog, c -> {});
+      asks.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
+    }
+    long nodes =
+        outside.dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
+    assertTrue(nodes > 150, nodes + " nodes of a thousand have 200 keys");
 
-        long first = Command.hash(host(0));
-        String[] doubtful = new String[2];
-        Buffer failed = Buffer.buffer().appendLong(first).appendByte((byte) 0);
-        for (int i = 0; i < 8; i++) {
-            outside.heard.accept(failed, new Address("10.8.0.1", 7946));
-        }
-        desk.tell(module -> doubtful[0] = "" + module.learnt(first).doubtful());
-        for (int i = 0; i < 8; i++) {
-            outside.heard.accept(failed, new Address("10.9.4.23", 7946));
-        }
-        desk.tell(module -> doubtful[1] = "" + module.learnt(first).doubtful());
-        assertEquals(List.of("false", "true"), List.of(doubtful), "the last of the peers, and no stranger");
+    long first = Command.hash(host(0));
+    String[] doubtful = new String[2];
+    Buffer failed = Buffer.buffer().appendLong(first).appendByte((byte) 0);
+    for (int i = 0; i < 8; i++) {
+      outside.heard.accept(failed, new Address("10.8.0.1", 7946));
+    }
+    desk.tell(module -> doubtful[0] = "" + module.learnt(first).doubtful());
+    for (int i = 0; i < 8; i++) {
+      outside.heard.accept(failed, new Address("10.9.4.23", 7946));
     }
+    desk.tell(module -> doubtful[1] = "" + module.learnt(first).doubtful());
+    assertEquals(
+        List.of("false", "true"), List.of(doubtful), "the last of the peers, and no stranger");
+  }
 }
--- a/src/test/java/pathgw/net/VertxOutsideTest.java
+++ b/src/test/java/pathgw/net/VertxOutsideTest.java
@@ -13,49 +13,56 @@
 import pathgw.config.Address;
 
 class VertxOutsideTest {
-    private static final String HERE = "127.0.0.1";
+  private static final String HERE = "127.0.0.1";
 
-    /** Of several, since a busy machine may hold up one; held back by the kernel each takes 200 ms. */
-    @Test
-    void aConnectionOnWhichNothingIsWrittenIsHeardOfAtOnce() throws Exception {
-        Vertx vertx = VertxOutside.vertx();
-        try {
-            VertxOutside outside = new VertxOutside(vertx);
-            long best = Long.MAX_VALUE;
-            for (int i = 0; i < 5; i++) {
-                Promise<Long> heard = Promise.promise();
-                int port = done(outside.listen(new Address(HERE, 0),
-                        arrived -> heard.tryComplete(System.nanoTime())));
-                long upAt = done(outside.dial(new Address(HERE, port), Duration.ofSeconds(5))
-                        .map(up -> System.nanoTime()));
-                best = Math.min(best, done(heard.future()) - upAt);
-            }
-            long took = TimeUnit.NANOSECONDS.toMillis(best);
-            assertTrue(took < 120, took + " ms");
-        } finally {
-            done(vertx.close());
-        }
+  /**
+   * Of several, since a busy machine may hold up one; held back by the kernel each takes 200 ms.
+   */
+  @Test
+  void aConnectionOnWhichNothingIsWrittenIsHeardOfAtOnce() throws Exception {
+    Vertx vertx = VertxOutside.vertx();
+    try {
+      VertxOutside outside = new VertxOutside(vertx);
+      long best = Long.MAX_VALUE;
+      for (int i = 0; i < 5; i++) {
+        Promise<Long> heard = Promise.promise();
+        int port =
+            done(
+                outside.listen(
+                    new Address(HERE, 0), arrived -> heard.tryComplete(System.nanoTime())));
+        long upAt =
+            done(
+                outside
+                    .dial(new Address(HERE, port), Duration.ofSeconds(5))
+                    .map(up -> System.nanoTime()));
+        best = Math.min(best, done(heard.future()) - upAt);
+      }
+      long took = TimeUnit.NANOSECONDS.toMillis(best);
+      assertTrue(took < 120, took + " ms");
+    } finally {
+      done(vertx.close());
     }
+  }
 
-    /** Small writes that the system holds back would go with a reset. */
-    @Test
-    void neitherEndHoldsSmallWritesBack() throws Exception {
-        Vertx vertx = VertxOutside.vertx();
-        try {
-            VertxOutside outside = new VertxOutside(vertx);
-            Promise<Pipe> came = Promise.promise();
-            int port = done(outside.listen(new Address(HERE, 0), came::tryComplete));
-            Pipe dialled = done(outside.dial(new Address(HERE, port), Duration.ofSeconds(5)));
-            for (Pipe end : List.of(dialled, done(came.future()))) {
-                assertTrue(((VertxOutside.Socket) end).channel().config()
-                        .getOption(ChannelOption.TCP_NODELAY));
-            }
-        } finally {
-            done(vertx.close());
-        }
+  /** Small writes that the system holds back would go with a reset. */
+  @Test
+  void neitherEndHoldsSmallWritesBack() throws Exception {
+    Vertx vertx = VertxOutside.vertx();
+    try {
+      VertxOutside outside = new VertxOutside(vertx);
+      Promise<Pipe> came = Promise.promise();
+      int port = done(outside.listen(new Address(HERE, 0), came::tryComplete));
+      Pipe dialled = done(outside.dial(new Address(HERE, port), Duration.ofSeconds(5)));
+      for (Pipe end : List.of(dialled, done(came.future()))) {
+        assertTrue(
+            ((VertxOutside.Socket) end).channel().config().getOption(ChannelOption.TCP_NODELAY));
+      }
+    } finally {
+      done(vertx.close());
     }
+  }
 
-    private static <T> T done(Future<T> future) throws Exception {
-        return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-    }
+  private static <T> T done(Future<T> future) throws Exception {
+    return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+  }
 }
--- a/src/test/java/pathgw/simulation/SimulationTest.java
+++ b/src/test/java/pathgw/simulation/SimulationTest.java
@@ -17,87 +17,94 @@
 
 /** The unchanged proxy under troubles from seeds, and under every script that once broke a rule. */
 class SimulationTest {
-    private static final int SEEDS = 300;
-    private static final int FLEETS = 12;
+  private static final int SEEDS = 300;
+  private static final int FLEETS = 12;
 
-    @Test
-    void theSeedsOfTheBuildKeepEveryRule() throws InterruptedException {
-        Seeds.Sum sum = Seeds.play(0, SEEDS - 1, 4, true, played -> { });
-        assertEquals(List.of(), sum.failed());
-        for (Fault.Kind kind : Arrays.asList(Fault.Kind.values()).subList(0, Fault.Kind.ANY_FLEET)) {
-            assertTrue(sum.counts().containsKey("fault " + kind.word()), kind + " never came");
-        }
+  @Test
+  void theSeedsOfTheBuildKeepEveryRule() throws InterruptedException {
+    Seeds.Sum sum = Seeds.play(0, SEEDS - 1, 4, true, played -> {});
+    assertEquals(List.of(), sum.failed());
+    for (Fault.Kind kind : Arrays.asList(Fault.Kind.values()).subList(0, Fault.Kind.ANY_FLEET)) {
+      assertTrue(sum.counts().containsKey("fault " + kind.word()), kind + " never came");
     }
+  }
 
-    /** Some 80 proxies and 140 nodes each, of which much goes at once; the sums are over all proxies. */
-    @Test
-    void largeFleetsKeepEveryRuleAndDoNotAddUpToAHerd() throws InterruptedException {
-        Seeds.Sum sum = Seeds.fleets(0, FLEETS - 1, 4, false, played -> { });
-        assertEquals(List.of(), sum.failed());
-        for (String kind : List.of("restart", "zone-lost", "zone-silent", "deploy", "greed",
-                "list-silent", "list-down")) {
-            assertTrue(sum.counts().containsKey("fault " + kind), kind + " never came");
-        }
-        long proxies = 0;
-        for (long seed = 0; seed < FLEETS; seed++) {
-            proxies += Draw.fleet(seed).proxies();
-        }
-        long calls = sum.counts().get("fleet list calls");
-        assertTrue(calls <= 5 * proxies, calls + " calls of " + proxies + " proxies");
-        assertTrue(sum.counts().get("fleet hand-offs to cold nodes") > 0);
+  /**
+   * Some 80 proxies and 140 nodes each, of which much goes at once; the sums are over all proxies.
+   */
+  @Test
+  void largeFleetsKeepEveryRuleAndDoNotAddUpToAHerd() throws InterruptedException {
+    Seeds.Sum sum = Seeds.fleets(0, FLEETS - 1, 4, false, played -> {});
+    assertEquals(List.of(), sum.failed());
+    for (String kind :
+        List.of(
+            "restart", "zone-lost", "zone-silent", "deploy", "greed", "list-silent", "list-down")) {
+      assertTrue(sum.counts().containsKey("fault " + kind), kind + " never came");
     }
-
-    @Test
-    void scriptsThatOnceBrokeARuleKeepItNow() throws IOException {
-        List<Path> scripts;
-        try (Stream<Path> files = Files.list(Path.of("src/test/resources/scripts"))) {
-            scripts = files.sorted().toList();
-        }
-        assertTrue(scripts.size() >= 4);
-        for (Path script : scripts) {
-            assertEquals(null, Play.play(Script.read(Files.readString(script)), Tamper.NONE, null).breach(),
-                    script.toString());
-        }
+    long proxies = 0;
+    for (long seed = 0; seed < FLEETS; seed++) {
+      proxies += Draw.fleet(seed).proxies();
     }
+    long calls = sum.counts().get("fleet list calls");
+    assertTrue(calls <= 5 * proxies, calls + " calls of " + proxies + " proxies");
+    assertTrue(sum.counts().get("fleet hand-offs to cold nodes") > 0);
+  }
 
-    @Test
-    void theSameSeedIsTheSameRunHoweverManyThreads() throws InterruptedException {
-        long alone = Seeds.play(40, 59, 1, false, played -> { }).digest();
-        assertEquals(alone, Seeds.play(40, 59, 8, false, played -> { }).digest());
-        assertNotEquals(alone, Seeds.play(41, 60, 8, false, played -> { }).digest());
+  @Test
+  void scriptsThatOnceBrokeARuleKeepItNow() throws IOException {
+    List<Path> scripts;
+    try (Stream<Path> files = Files.list(Path.of("src/test/resources/scripts"))) {
+      scripts = files.sorted().toList();
     }
-
-    @Test
-    void aTraceChangesNothingAndTellsAll() {
-        List<String> lines = new ArrayList<>();
-        Script script = Draw.script(7);
-        Outcome traced = Play.play(script, Tamper.NONE, lines::add);
-        assertEquals(Play.play(script, Tamper.NONE, null), traced);
-        assertTrue(lines.size() > 1000, lines.size() + " lines");
+    assertTrue(scripts.size() >= 4);
+    for (Path script : scripts) {
+      assertEquals(
+          null,
+          Play.play(Script.read(Files.readString(script)), Tamper.NONE, null).breach(),
+          script.toString());
     }
+  }
+
+  @Test
+  void theSameSeedIsTheSameRunHoweverManyThreads() throws InterruptedException {
+    long alone = Seeds.play(40, 59, 1, false, played -> {}).digest();
+    assertEquals(alone, Seeds.play(40, 59, 8, false, played -> {}).digest());
+    assertNotEquals(alone, Seeds.play(41, 60, 8, false, played -> {}).digest());
+  }
+
+  @Test
+  void aTraceChangesNothingAndTellsAll() {
+    List<String> lines = new ArrayList<>();
+    Script script = Draw.script(7);
+    Outcome traced = Play.play(script, Tamper.NONE, lines::add);
+    assertEquals(Play.play(script, Tamper.NONE, null), traced);
+    assertTrue(lines.size() > 1000, lines.size() + " lines");
+  }
 
-    @Test
-    void aScriptIsReadAsItIsWritten() {
-        for (long seed = 0; seed < 500; seed++) {
-            Script script = Draw.script(seed);
-            assertEquals(script, Script.read(script.toString()), script.toString());
-        }
-        assertEquals(Script.PLAIN, Script.read("\n# nothing\n seed 1\n"));
+  @Test
+  void aScriptIsReadAsItIsWritten() {
+    for (long seed = 0; seed < 500; seed++) {
+      Script script = Draw.script(seed);
+      assertEquals(script, Script.read(script.toString()), script.toString());
     }
+    assertEquals(Script.PLAIN, Script.read("\n# nothing\n seed 1\n"));
+  }
 
-    @Test
-    void aScriptThatCannotBeReadIsNamedByItsLine() {
-        for (String[] bad : new String[][] {
-            {"seed 1\nrate 40", "line 2: 'rate' needs a number with its unit, /s"},
-            {"proxies 0", "line 1: 'proxies' is not between 1 and 1024"},
-            {"colour red", "line 1: 'colour' is no known word"},
-            {"mode sideways", "line 1: 'sideways' is none of aside, through"},
-            {"at 1ms slow node 3", "line 1: 'slow' needs 'by X'"},
-            {"at 1ms slow proxy 3 by 2", "line 1: 'slow' needs 'node N'"},
-            {"at 1ms list-ends by 3", "line 1: 'list-ends' has no measure"},
-            {"at 1s dies node 3", "line 1: not of the form 'at 100ms for 2000ms slow node 3 by 4'"},
-            {"at 1ms explodes", "line 1: 'explodes' is no known trouble"}}) {
-            assertEquals(bad[1], assertThrows(BadInput.class, () -> Script.read(bad[0])).getMessage());
-        }
+  @Test
+  void aScriptThatCannotBeReadIsNamedByItsLine() {
+    for (String[] bad :
+        new String[][] {
+          {"seed 1\nrate 40", "line 2: 'rate' needs a number with its unit, /s"},
+          {"proxies 0", "line 1: 'proxies' is not between 1 and 1024"},
+          {"colour red", "line 1: 'colour' is no known word"},
+          {"mode sideways", "line 1: 'sideways' is none of aside, through"},
+          {"at 1ms slow node 3", "line 1: 'slow' needs 'by X'"},
+          {"at 1ms slow proxy 3 by 2", "line 1: 'slow' needs 'node N'"},
+          {"at 1ms list-ends by 3", "line 1: 'list-ends' has no measure"},
+          {"at 1s dies node 3", "line 1: not of the form 'at 100ms for 2000ms slow node 3 by 4'"},
+          {"at 1ms explodes", "line 1: 'explodes' is no known trouble"}
+        }) {
+      assertEquals(bad[1], assertThrows(BadInput.class, () -> Script.read(bad[0])).getMessage());
     }
+  }
 }
