--- a/src/main/java/pathgw/command/Cli.java
+++ b/src/main/java/pathgw/command/Cli.java
@@ -16,6 +16,8 @@
   private Cli() {}
 
   /**
+   * Runs one subcommand.
+   *
    * @return 0 for done, 1 for a rule broken, 2 for bad use
    */
   public static int run(String[] args) {
--- a/src/main/java/pathgw/command/Simulate.java
+++ b/src/main/java/pathgw/command/Simulate.java
@@ -20,6 +20,7 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
+/** Plays seeds or a script of the simulation and prints what was broken. */
 @Command(
     name = "simulate",
     mixinStandardHelpOptions = true,
@@ -115,6 +116,7 @@
     long from = Long.parseLong(range[0]);
     long to = Long.parseLong(range[1]);
     long began = System.nanoTime();
+    @SuppressWarnings("SystemConsoleNull") // Only that no counting line fills a file.
     boolean terminal = System.console() != null;
     Consumer<long[]> played =
         so -> {
--- a/src/main/java/pathgw/simulation/Draw.java
+++ b/src/main/java/pathgw/simulation/Draw.java
@@ -62,7 +62,7 @@
     List<Fault> faults = new ArrayList<>();
     int spells = 1 + chance.nextInt(5);
     for (int i = 0; i < spells; i++) {
-      long at = 1000 + chance.nextInt(8000);
+      long at = 1000L + chance.nextInt(8000);
       int together = 1 + chance.nextInt(MOST_TOGETHER);
       for (int j = 0; j < together; j++) {
         faults.add(fault(at + chance.nextInt(500), shape));
@@ -109,7 +109,7 @@
                 30 + chance.nextInt(30),
                 proxies / (5.0 + chance.nextInt(4))),
             List.of());
-    long at = 1000 + chance.nextInt(8000);
+    long at = 1000L + chance.nextInt(8000);
     List<Fault> faults = new ArrayList<>();
     faults.add(new Fault(at, 0, Kind.LIST_SILENT, -1, 1));
     faults.add(new Fault(at + 100 + chance.nextInt(1500), 0, Kind.LIST_DRAINS, -1, 0.25));
@@ -147,12 +147,12 @@
             new Fleet(
                 zones, 0.3 + chance.nextInt(6) / 10.0, 16 + chance.nextInt(25), proxies / 6.0),
             List.of());
-    long at = 1000 + chance.nextInt(2000);
+    long at = 1000L + chance.nextInt(2000);
     List<Fault> faults = new ArrayList<>();
     // Each of these alone would be the hour that everybody talks about; here two meet, and smaller
     // ones.
     for (int i = 0; i < 2; i++) {
-      long lasts = 3000 + chance.nextInt(4000);
+      long lasts = 3000L + chance.nextInt(4000);
       faults.add(
           switch (chance.nextInt(6)) {
             case 0 -> herd(at, faults);
--- a/src/main/java/pathgw/simulation/Events.java
+++ b/src/main/java/pathgw/simulation/Events.java
@@ -10,10 +10,10 @@
   static final class Event implements Comparable<Event> {
     private final long at;
     private final long order;
-    private final Process owner;
+    private final VirtualProcess owner;
     private Runnable what;
 
-    private Event(long at, long order, Process owner, Runnable what) {
+    private Event(long at, long order, VirtualProcess owner, Runnable what) {
       this.at = at;
       this.order = order;
       this.owner = owner;
@@ -44,24 +44,24 @@
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
   private long now;
   private long order;
-  private Process last;
+  private VirtualProcess last;
 
   long now() {
     return now;
   }
 
-  Event at(long at, Process owner, Runnable what) {
+  Event at(long at, VirtualProcess owner, Runnable what) {
     Event event = new Event(Math.max(now, at), order++, owner, what);
     queue.add(event);
     return event;
   }
 
-  Event in(long span, Process owner, Runnable what) {
+  Event in(long span, VirtualProcess owner, Runnable what) {
     return at(now + span, owner, what);
   }
 
   /** To which process the last thing happened; null for the world. */
-  Process last() {
+  VirtualProcess last() {
     return last;
   }
 
--- a/src/main/java/pathgw/simulation/Fault.java
+++ b/src/main/java/pathgw/simulation/Fault.java
@@ -100,6 +100,7 @@
     LIST_DRAINS(On.WORLD, true);
 
     /** So many come first that befall any fleet; the rest are drawn for large ones alone. */
+    @SuppressWarnings("EnumOrdinal") // The order of the constants is what is meant.
     static final int ANY_FLEET = LEAVE.ordinal() + 1;
 
     final On on;
--- a/src/main/java/pathgw/simulation/Play.java
+++ b/src/main/java/pathgw/simulation/Play.java
@@ -61,9 +61,9 @@
   private final Trace trace;
   private final VirtualNet net;
   private final Referee referee;
-  private final Process clientsProcess;
-  private final Process listProcess;
-  private final Process originProcess;
+  private final VirtualProcess clientsProcess;
+  private final VirtualProcess listProcess;
+  private final VirtualProcess originProcess;
   private final NodeList list;
 
   /** Every change of the list by its version. */
@@ -91,7 +91,7 @@
     final int number;
     final int zones;
     Address dial;
-    Process process;
+    VirtualProcess process;
     CacheNode node;
     long bornMs;
     boolean going;
@@ -111,7 +111,7 @@
   /** A proxy under one name, through all its processes. */
   private static final class Gate {
     final int number;
-    Process process;
+    VirtualProcess process;
     Proxy proxy;
     long bornAt;
     boolean serves;
@@ -217,8 +217,8 @@
     return new Random(script.seed() * 1_000_003 + of.hashCode());
   }
 
-  private Process process(String name) {
-    return new Process(
+  private VirtualProcess process(String name) {
+    return new VirtualProcess(
         name,
         events,
         e -> {
@@ -267,7 +267,7 @@
     long steps = 0;
     while (referee.breach() == null && events.step(end)) {
       steps++;
-      Process last = events.last();
+      VirtualProcess last = events.last();
       if (last != null && last.name.startsWith("p")) {
         Gate g = gates.get(Integer.parseInt(last.name.substring(1)));
         if (g.serves && !last.dead()) {
@@ -406,7 +406,7 @@
             ? new Address("10.1." + incarnations % 250 + "." + (1 + incarnations++ / 250), 11211)
             : n.dial;
     n.bornMs = cold ? ProxyOutside.EPOCH_MS + events.now() / 1_000_000 : 0;
-    Process own = n.process;
+    VirtualProcess own = n.process;
     String group =
         switch (script.group()) {
           case "zone" -> "z" + n.number % n.zones;
@@ -507,7 +507,7 @@
   }
 
   private void listedLater(Node n, String health, long afterMs) {
-    Process then = n.process;
+    VirtualProcess then = n.process;
     events.in(
         afterMs * 1_000_000,
         null,
@@ -521,11 +521,11 @@
   // Proxies.
 
   private void begin(Gate g) {
-    g.process = new Process("p" + g.number, events, e -> referee.fault(g.number, e));
+    g.process = new VirtualProcess("p" + g.number, events, e -> referee.fault(g.number, e));
     g.bornAt = events.now();
     g.serves = false;
     g.leaving = false;
-    Process own = g.process;
+    VirtualProcess own = g.process;
     Config config = Config.read(tamper.config(config(g)).getBytes(StandardCharsets.UTF_8));
     referee.begins(g.number, g.knownHealth, g.knownVersion);
     ProxyOutside outside =
@@ -558,7 +558,7 @@
   }
 
   private void stop(Gate g, long againMs) {
-    Process own = g.process;
+    VirtualProcess own = g.process;
     g.leaving = true;
     clients.stops(g.number);
     events.in(
@@ -729,6 +729,7 @@
         > Math.max(1, script.nodes() / 2);
   }
 
+  @SuppressWarnings("EnumOrdinal") // Part of the digest.
   private void strike(Fault f) {
     trace.mix(events.now(), f.kind().ordinal());
     trace.say(events.now(), f::toString);
@@ -744,11 +745,11 @@
       case DRAINS -> drain(n);
       case FLUSHED -> n.node.flush();
       case CUTS -> {
-        Process to = n.process;
+        VirtualProcess to = n.process;
         during(f, () -> net.cutsBefore(to, f.by()), () -> net.cutsBefore(to, 0));
       }
       case CONNECTS_LATE -> {
-        Process to = n.process;
+        VirtualProcess to = n.process;
         during(f, () -> net.connectsLate(to, (long) (f.by() * 1e6)), () -> net.connectsLate(to, 0));
       }
       case RESETS -> during(f, () -> n.mischief.resets = f.by(), () -> n.mischief.resets = 0);
@@ -876,10 +877,10 @@
   }
 
   private void die(Node n, Fault f) {
-    if (n.process.dead() || n.going || f.forMs() == 0 && !spare()) {
+    if (n.process.dead() || n.going || (f.forMs() == 0 && !spare())) {
       return;
     }
-    Process was = n.process;
+    VirtualProcess was = n.process;
     was.die();
     listedLater(n, "gone", 300 + f.atMs() % 1000);
     if (f.forMs() > 0) {
@@ -897,7 +898,7 @@
   }
 
   private void vanish(Node n, Fault f) {
-    Process was = n.process;
+    VirtualProcess was = n.process;
     if (was.dead() || n.going || f.forMs() == 0) {
       return;
     }
@@ -928,7 +929,7 @@
       return;
     }
     n.going = true;
-    Process was = n.process;
+    VirtualProcess was = n.process;
     listed(n, "draining");
     events.in(1_000_000_000L, null, () -> n.node.drain());
     listedLater(n, "gone", 2500);
--- a/src/main/java/pathgw/simulation/ProxyOutside.java
+++ b/src/main/java/pathgw/simulation/ProxyOutside.java
@@ -18,7 +18,7 @@
 
   private final Events events;
   private final VirtualNet net;
-  private final Process process;
+  private final VirtualProcess process;
   private final String host;
   private final Address peersAll;
   private final Watcher watcher;
@@ -30,7 +30,7 @@
   ProxyOutside(
       Events events,
       VirtualNet net,
-      Process process,
+      VirtualProcess process,
       String host,
       Address peersAll,
       Watcher watcher,
--- a/src/main/java/pathgw/simulation/Referee.java
+++ b/src/main/java/pathgw/simulation/Referee.java
@@ -80,10 +80,8 @@
 
   private static final class Course {
     final Ask ask;
-    final int proxy;
     final List<HandOff> handOffs = new ArrayList<>(2);
     final List<String> made = new ArrayList<>(2);
-    boolean answered;
 
     /** Far off, yet spans can be added to it. */
     long overAt = Long.MAX_VALUE / 2;
@@ -93,9 +91,8 @@
     boolean coldMiss;
     boolean left;
 
-    Course(Ask ask, int proxy) {
+    Course(Ask ask) {
       this.ask = ask;
-      this.proxy = proxy;
     }
   }
 
@@ -453,7 +450,7 @@
         work.stream().filter(a -> told.get(number(a.from())).containsKey(place)).count();
     note(work.size(), () -> place + " falls over under " + work.size() + " accesses");
     count("node pushed over");
-    if (fromTold * 3 >= work.size() * 2) {
+    if (fromTold * 3 >= work.size() * 2L) {
       broken(
           4,
           "cold",
@@ -503,7 +500,7 @@
                 + ask.patience().toMillis()
                 + " ms"
                 + (ask.tries() > 0 ? ", again" : ""));
-    courses.put(ask.id(), new Course(ask, proxy));
+    courses.put(ask.id(), new Course(ask));
     count("asked");
     asked += ask.tries() == 0 && events.now() >= countFrom ? 1 : 0;
   }
@@ -525,7 +522,6 @@
       broken(1, "two-answers", "p" + proxy + " gives an answer that nobody asked for: " + answer);
       return;
     }
-    c.answered = true;
     c.overAt = now;
     long late = now - ask.due().toNanos() - figures.answerSlack - ON_SOCKETS - ON_THE_WAY;
     if (late > 0 && now > world.stoodUntil(proxy) + ON_THE_WAY + ON_SOCKETS) {
--- a/src/main/java/pathgw/simulation/Seeds.java
+++ b/src/main/java/pathgw/simulation/Seeds.java
@@ -44,6 +44,8 @@
   private Seeds() {}
 
   /**
+   * Plays a range of seeds.
+   *
    * @param jobs threads
    * @param played hears of each outcome in the order of the seeds: how many so far and how many
    *     failed
--- a/src/main/java/pathgw/simulation/VirtualNet.java
+++ b/src/main/java/pathgw/simulation/VirtualNet.java
@@ -21,17 +21,17 @@
     boolean open(VirtualPipe end);
   }
 
-  private record Listener(Process owner, Door door) {}
+  private record Listener(VirtualProcess owner, Door door) {}
 
-  private record Ear(Process owner, BiConsumer<Buffer, Address> heard) {}
+  private record Ear(VirtualProcess owner, BiConsumer<Buffer, Address> heard) {}
 
   private final Events events;
   private final Random chance;
-  private final BiConsumer<Process, Buffer> seen;
+  private final BiConsumer<VirtualProcess, Buffer> seen;
   private final Map<Address, Listener> listeners = new LinkedHashMap<>();
   private final Map<Address, Ear> ears = new LinkedHashMap<>();
-  private final Map<Process, Long> lateConnects = new LinkedHashMap<>();
-  private final Map<Process, Double> cuts = new LinkedHashMap<>();
+  private final Map<VirtualProcess, Long> lateConnects = new LinkedHashMap<>();
+  private final Map<VirtualProcess, Double> cuts = new LinkedHashMap<>();
   private int port = FIRST_PORT;
   private double lostDatagrams;
   private long lateDatagrams;
@@ -39,7 +39,7 @@
   /**
    * @param seen hears of all bytes as they arrive, for the digest
    */
-  VirtualNet(Events events, Random chance, BiConsumer<Process, Buffer> seen) {
+  VirtualNet(Events events, Random chance, BiConsumer<VirtualProcess, Buffer> seen) {
     this.events = events;
     this.chance = chance;
     this.seen = seen;
@@ -49,18 +49,18 @@
    * @param share of the writes to a process that are cut before their last byte; the connection is
    *     reset
    */
-  void cutsBefore(Process to, double share) {
+  void cutsBefore(VirtualProcess to, double share) {
     cuts.put(to, share);
   }
 
   /**
    * @param late up to so much longer a connection to a process takes, in nanoseconds
    */
-  void connectsLate(Process to, long late) {
+  void connectsLate(VirtualProcess to, long late) {
     lateConnects.put(to, late);
   }
 
-  boolean cutsBefore(Process to) {
+  boolean cutsBefore(VirtualProcess to) {
     double share = cuts.isEmpty() ? 0 : cuts.getOrDefault(to, 0.0);
     return share > 0 && chance.nextDouble() < share;
   }
@@ -81,19 +81,19 @@
         + (chance.nextInt(64) == 0 ? chance.nextInt(2_000_000) : 0);
   }
 
-  void at(long at, Process owner, Runnable what) {
+  void at(long at, VirtualProcess owner, Runnable what) {
     events.at(at, owner, what);
   }
 
-  void soon(Process owner, Runnable what) {
+  void soon(VirtualProcess owner, Runnable what) {
     events.at(events.now(), owner, what);
   }
 
-  void seen(Process owner, Buffer bytes) {
+  void seen(VirtualProcess owner, Buffer bytes) {
     seen.accept(owner, bytes);
   }
 
-  void listen(Address at, Process owner, Door door) {
+  void listen(Address at, VirtualProcess owner, Door door) {
     listeners.put(at, new Listener(owner, door));
   }
 
@@ -102,7 +102,7 @@
     listeners.remove(at);
   }
 
-  Future<VirtualPipe> dial(Process from, String host, Address to, long within) {
+  Future<VirtualPipe> dial(VirtualProcess from, String host, Address to, long within) {
     Promise<VirtualPipe> up = Promise.promise();
     Events.Event tooLong =
         events.in(within, from, () -> up.tryFail(new Outside.TooLong("no answer from " + to)));
@@ -111,11 +111,11 @@
         null,
         () -> {
           Listener there = listeners.get(to);
-          if (from.dead() || from.cutOff() || there != null && there.owner.cutOff()) {
+          if (from.dead() || from.cutOff() || (there != null && there.owner.cutOff())) {
             return;
           }
           VirtualPipe near = new VirtualPipe(this, from, new Address(host, port++), to);
-          Process owner = there == null ? from : there.owner;
+          VirtualProcess owner = there == null ? from : there.owner;
           VirtualPipe far = new VirtualPipe(this, owner, to, near.here());
           VirtualPipe.join(near, far);
           if (there == null || there.owner.dead() || !there.door.open(far)) {
@@ -152,7 +152,7 @@
     lateDatagrams = late;
   }
 
-  void hear(Address at, Process owner, BiConsumer<Buffer, Address> heard) {
+  void hear(Address at, VirtualProcess owner, BiConsumer<Buffer, Address> heard) {
     ears.put(at, new Ear(owner, heard));
   }
 
--- a/src/main/java/pathgw/simulation/VirtualPipe.java
+++ b/src/main/java/pathgw/simulation/VirtualPipe.java
@@ -20,7 +20,7 @@
   private static final int FULL = 1 << 16;
 
   private final VirtualNet net;
-  private final Process owner;
+  private final VirtualProcess owner;
   private final Address here;
   private final Address there;
   private final ArrayDeque<Buffer> unread = new ArrayDeque<>();
@@ -43,7 +43,7 @@
   private long onTheWay;
   private long arrives;
 
-  VirtualPipe(VirtualNet net, Process owner, Address here, Address there) {
+  VirtualPipe(VirtualNet net, VirtualProcess owner, Address here, Address there) {
     this.net = net;
     this.owner = owner;
     this.here = here;
@@ -56,7 +56,7 @@
     b.other = a;
   }
 
-  Process owner() {
+  VirtualProcess owner() {
     return owner;
   }
 
@@ -65,7 +65,7 @@
     arrives = Math.max(arrives, at);
   }
 
-  Process ownerThere() {
+  VirtualProcess ownerThere() {
     return other.owner;
   }
 
--- a/src/main/java/pathgw/simulation/Process.java
+++ b/src/main/java/pathgw/simulation/VirtualProcess.java
@@ -12,7 +12,7 @@
  * One process of the world, from one start to its end; what happens to it happens one after
  * another.
  */
-final class Process implements Clock {
+final class VirtualProcess implements Clock {
   final String name;
   final Set<VirtualPipe> pipes = new LinkedHashSet<>();
   private final Events events;
@@ -26,7 +26,7 @@
   /**
    * @param failed hears of what one of its handlers threw
    */
-  Process(String name, Events events, Consumer<RuntimeException> failed) {
+  VirtualProcess(String name, Events events, Consumer<RuntimeException> failed) {
     this.name = name;
     this.events = events;
     this.failed = failed;
--- a/src/main/java/pathgw/standin/CacheNode.java
+++ b/src/main/java/pathgw/standin/CacheNode.java
@@ -9,6 +9,8 @@
 /** A cache node: keeps copies, warms up, falls over when cold and overdriven, drains. */
 public final class CacheNode extends Place {
   /**
+   * What it bears.
+   *
    * @param service what one access takes on a warm node
    * @param queue how many may wait
    * @param idle how long a connection may stand idle
--- a/src/main/java/pathgw/standin/ClientWitness.java
+++ b/src/main/java/pathgw/standin/ClientWitness.java
@@ -8,6 +8,8 @@
   void asked(Ask ask, int proxy);
 
   /**
+   * A client has read an answer.
+   *
    * @param answer the answer's line, with the value behind it after a blank where there is one
    */
   void answered(Ask ask, int proxy, String answer);
@@ -29,7 +31,8 @@
    * A client that sent what is no command has ended.
    *
    * @param what what it did
-   * @param took how long until an error line or the end came; null where neither did
+   * @param took how long until an error line or the end came; null where neither did A client has
+   *     read an answer.
    * @param answer the first line that came
    */
   void rude(int proxy, String what, Duration took, String answer);
--- a/src/main/java/pathgw/standin/Clients.java
+++ b/src/main/java/pathgw/standin/Clients.java
@@ -14,6 +14,7 @@
  * a dead proxy for some seconds. Accesses come at random times that wait for no answer.
  */
 public final class Clients {
+  /** How far an access may be repeated. */
   public enum Effect {
     REISSUABLE,
     NUMBERED,
@@ -21,6 +22,8 @@
   }
 
   /**
+   * One class of accesses.
+   *
    * @param repeats whether clients try a numbered access again after any failure
    * @param part of all accesses
    */
@@ -252,7 +255,7 @@
 
   private boolean mayRepeat(Ask ask) {
     return ask.offering().effect == Effect.REISSUABLE
-        || ask.offering().effect == Effect.NUMBERED && ask.offering().repeats;
+        || (ask.offering().effect == Effect.NUMBERED && ask.offering().repeats);
   }
 
   /** One kept connection and the try that is out on it. */
@@ -303,7 +306,7 @@
         clock.in(
             Duration.ofNanos((long) (wait.toNanos() * chance.nextDouble())),
             () -> {
-              if (out == ask) {
+              if (ask.equals(out)) {
                 out = null;
                 witness.left(ask, proxy);
                 side.close();
@@ -314,7 +317,7 @@
       clock.in(
           wait.plus(GIVES_UP),
           () -> {
-            if (out == ask) {
+            if (ask.equals(out)) {
               out = null;
               witness.neverAnswered(ask, proxy);
               side.close();
--- a/src/main/java/pathgw/standin/Cutter.java
+++ b/src/main/java/pathgw/standin/Cutter.java
@@ -7,6 +7,7 @@
  * Cuts what comes on a connection into lines that end with CRLF or LF, and pieces of a known size.
  */
 final class Cutter {
+  /** Hears one record as a part of a buffer. */
   interface Taker {
     void take(byte[] bytes, int from, int to);
   }
--- a/src/main/java/pathgw/standin/Front.java
+++ b/src/main/java/pathgw/standin/Front.java
@@ -5,6 +5,8 @@
 /** The way from clients to proxies. */
 public interface Front {
   /**
+   * Opens a connection to a proxy.
+   *
    * @param up gives what the client makes of the connection; {@code refused} runs where none comes
    *     up
    */
--- a/src/main/java/pathgw/standin/NodeList.java
+++ b/src/main/java/pathgw/standin/NodeList.java
@@ -123,6 +123,8 @@
   }
 
   /**
+   * Limits the calls that are worked off.
+   *
    * @param calls a second that are worked off, in turn; 0 for any number
    */
   public void takes(double calls) {
@@ -188,6 +190,8 @@
   }
 
   /**
+   * Takes a connection.
+   *
    * @return what it makes of the connection, or null while it is down
    */
   public Talk accept(String from, Side side) {
@@ -296,7 +300,8 @@
         List<Change> missed =
             changes.stream().filter(c -> c.seq() > has && c.seq() <= upTo).toList();
         StringBuilder text = new StringBuilder("{\"seq\":" + upTo + ",\"whole\":false,\"hosts\":[");
-        missed.forEach(c -> text.append(c == missed.get(0) ? "" : ",").append(c.entry().json()));
+        missed.forEach(
+            c -> text.append(c.equals(missed.get(0)) ? "" : ",").append(c.entry().json()));
         chunk(text.append("]}\n").toString());
         missed.forEach(c -> witness.told(from, c.entry().host(), c.entry().health(), upTo));
         has = upTo;
--- a/src/main/java/pathgw/standin/Origin.java
+++ b/src/main/java/pathgw/standin/Origin.java
@@ -14,6 +14,8 @@
  */
 public final class Origin extends Place {
   /**
+   * What it bears.
+   *
    * @param fallMultiple over this many times its capacity for {@code fallFor} it goes down; 0 for
    *     never
    * @param memory of marked accesses
@@ -93,7 +95,11 @@
     }
   }
 
-  /** For a node that fetches by itself. @param version hears the version, or -1 for a failure */
+  /**
+   * For a node that fetches by itself.
+   *
+   * @param version hears the version, or -1 for a failure
+   */
   void read(Request request, String from, IntConsumer version) {
     arrived(request, from);
     if (down() || workers.full()) {
@@ -103,7 +109,11 @@
     }
   }
 
-  /** For a node that passes writes on. @param receipt hears the receipt, or null for a failure */
+  /**
+   * For a node that passes writes on.
+   *
+   * @param receipt hears the receipt, or null for a failure
+   */
   void write(Request request, Consumer<String> receipt) {
     if (down() || workers.full()) {
       clock.in(Duration.ofMillis(2), () -> receipt.accept(null));
--- a/src/main/java/pathgw/standin/Place.java
+++ b/src/main/java/pathgw/standin/Place.java
@@ -37,7 +37,7 @@
   }
 
   /** What an access is owed on its connection; given once. */
-  final class Reply {
+  static final class Reply {
     private final Conversation on;
     private Buffer answer;
     private boolean ready;
@@ -48,6 +48,8 @@
     }
 
     /**
+     * Gives the answer.
+     *
      * @param answer the whole answer; null leaves the access without one
      */
     void give(Buffer answer) {
@@ -68,6 +70,8 @@
   }
 
   /**
+   * Takes a connection.
+   *
    * @return what it makes of the connection, or null where it takes no more
    */
   public final Talk accept(String from, Side side) {
@@ -101,6 +105,7 @@
     reply.give(turnedAway(request));
   }
 
+  /** One connection and the answers that are owed on it, in order. */
   final class Conversation implements Talk {
     private final String from;
     private final Side side;
--- a/src/main/java/pathgw/standin/Requests.java
+++ b/src/main/java/pathgw/standin/Requests.java
@@ -40,7 +40,7 @@
   private void metaLine(byte[] bytes, int from, int to) {
     String[] words = Request.text(bytes, from, to).split(" ");
     put = words[0].equals("ms");
-    if (!put && !words[0].equals("mg") || words.length < 4) {
+    if ((!put && !words[0].equals("mg")) || words.length < 4) {
       unreadable.run();
       return;
     }
--- a/src/main/java/pathgw/standin/Witness.java
+++ b/src/main/java/pathgw/standin/Witness.java
@@ -8,23 +8,34 @@
   record Arrival(long atNanos, String from, String id) {}
 
   /**
-   * An access was taken on and runs, or will. @param again it is a repeat that the memory of marked
-   * accesses dropped
+   * An access was taken on and runs, or will.
+   *
+   * @param again it is a repeat that the memory of marked accesses dropped
    */
   void ran(String place, Request request, boolean again);
 
   /** An access was refused unseen. */
   void turnedAway(String place, Request request);
 
-  /** A read found nothing. @param cold the node had not warmed up */
+  /**
+   * A read found nothing.
+   *
+   * @param cold the node had not warmed up
+   */
   void missed(String place, Request request, boolean cold);
 
   /**
-   * An answer that may be served for this access and no other. @param answer a value or a receipt
+   * An answer that may be served for this access and no other.
+   *
+   * @param answer a value or a receipt
    */
   void made(String place, Request request, String answer);
 
-  /** A cold node took an access. @param part of what pushes it over has come by now */
+  /**
+   * A cold node took an access.
+   *
+   * @param part of what pushes it over has come by now
+   */
   void pressed(double part);
 
   /** A cold node fell over under what arrived within the window. */
--- a/src/test/java/pathgw/ClientProxyTest.java
+++ b/src/test/java/pathgw/ClientProxyTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
@@ -28,7 +29,7 @@
   }
 
   private static long score(long node, long key) {
-    return Decide.score(new Node(node), Long.toString(key).getBytes());
+    return Decide.score(new Node(node), Long.toString(key).getBytes(StandardCharsets.UTF_8));
   }
 
   @Test
@@ -62,7 +63,7 @@
   void aBusyProxyDeniesNoShareWhileNothingIsStrained() {
     Bed bed = Bed.ofAClient(10, 10).list(NODES);
     for (int id = 1; id <= 200; id++) {
-      bed.at(id * 20).asks(id, 0, id % 3 == 0 ? 0 : 1, id);
+      bed.at(id * 20L).asks(id, 0, id % 3 == 0 ? 0 : 1, id);
       bed.outcome(id, 0, id % 10 == 0 ? How.CUT : How.DELIVERED, 20).outcome(id, 1, How.CUT, 20);
     }
     assertEquals(
@@ -73,7 +74,7 @@
   void aShortAccessGoesRoundANodeThatHasALongOneOut() {
     Bed bed = Bed.ofAClient(50).list(NODES);
     for (int id = 1; id <= 20; id++) {
-      bed.at(id * 1000).asks(id, 0, 0, id).outcome(id, 0, How.DELIVERED, 800);
+      bed.at(id * 1000L).asks(id, 0, 0, id).outcome(id, 0, How.DELIVERED, 800);
     }
     bed.at(30_000).asks(50, 0, 0, 8).asks(51, 1, 0, 8);
     assertNotEquals(bed.sentTo.get(20), bed.sentTo.get(21));
@@ -90,7 +91,7 @@
     bed.decide.listEnds();
     int weak = 0;
     for (int id = 1; id <= 600; id++) {
-      bed.at(id * 100).asks(id, 0, 0, id);
+      bed.at(id * 100L).asks(id, 0, 0, id);
       long node = bed.sentTo.get(bed.sentTo.size() - 1);
       weak += id > 400 && node % 2 == 0 ? 1 : 0;
       bed.outcome(id, 0, How.DELIVERED, node % 2 == 0 && id % 3 != 0 ? 1400 : 50);
--- a/src/test/java/pathgw/ColdFleet.java
+++ b/src/test/java/pathgw/ColdFleet.java
@@ -24,7 +24,8 @@
   private static final double MULTIPLE = 3;
 
   /**
-   * @param most of what pushes the node over it had in the worst moment; @param sent to it in all
+   * @param most of what pushes the node over it had in the worst moment
+   * @param sent to it in all
    */
   record Played(double most, int sent) {}
 
--- a/src/test/java/pathgw/net/CrossingTest.java
+++ b/src/test/java/pathgw/net/CrossingTest.java
@@ -48,7 +48,7 @@
       first.sends(RawWorld.read("end"));
       Peer other = world.node.nextNow();
       String line = at.line();
-      assertTrue(line.isEmpty() && other != null || line.contains("Oend"), line);
+      assertTrue((line.isEmpty() && other != null) || line.contains("Oend"), line);
     }
   }
 
@@ -336,7 +336,7 @@
       Peer again = world.node.nextNow();
       // One node: it goes on to nowhere, or there again; in no case to the client.
       String told = client.line();
-      assertFalse(told.startsWith("VA"), told + again);
+      assertFalse(told.startsWith("VA"), told + (again == null ? "" : ", sent again"));
     }
   }
 
--- a/src/test/java/pathgw/net/KeepsakeTest.java
+++ b/src/test/java/pathgw/net/KeepsakeTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -38,7 +39,8 @@
   }
 
   private static Decide module() {
-    Decide module = new Decide(Config.read(Bed.config().getBytes()).settings(), 1);
+    Decide module =
+        new Decide(Config.read(Bed.config().getBytes(StandardCharsets.UTF_8)).settings(), 1);
     module.listBegins(true, false);
     module.listed(1, Standing.READY, null, 0, 0, 0);
     module.listed(2, Standing.READY, null, 0, 0, 0);
