--- /dev/null
+++ b/src/test/java/pathgw/net/CountersTest.java
@@ -0,0 +1,54 @@
+package pathgw.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.ResourceBundle;
+import org.junit.jupiter.api.Test;
+
+/** The summary line that is logged every ten seconds. */
+class CountersTest extends NetworkFixture {
+  private record ListeningLogger(List<String> lines) implements System.Logger {
+    @Override
+    public String getName() {
+      return "test";
+    }
+
+    @Override
+    public boolean isLoggable(Level level) {
+      return true;
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String text, Throwable thrown) {
+      lines.add(text);
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String format, Object... params) {
+      lines.add(format);
+    }
+  }
+
+  @Test
+  void onceAPeriodOneLineTellsWhatWasDone() {
+    List<String> lines = new ArrayList<>();
+    Counters counters = new Counters(new ListeningLogger(lines), agenda, Watcher.NONE);
+    life = new Life(agenda, desk, links, CONFIG.answerSlack(), counters);
+    links =
+        new Links(counters.dials("node-connections", this::dial), this::dial, agenda, CONFIG, 8);
+    client().gives(READ);
+    nodes("n1");
+    life = new Life(agenda, desk, links, CONFIG.answerSlack(), counters);
+    client().gives("mg k1 v Oa2 Pc=read,t=one,d=480\r\n");
+    dialled.get(0).gives("VA 2 Oa2\r\nhi\r\n");
+    pass(20_100);
+    assertEquals(
+        List.of(
+            "in 10 s; accesses delivered 1, denied unsent 1; hand-offs ANSWERED 1, first 1; "
+                + "node-connections opened 1"),
+        lines,
+        "and none where nothing was done");
+  }
+}
--- /dev/null
+++ b/src/test/java/pathgw/net/MetaCommandTest.java
@@ -0,0 +1,84 @@
+package pathgw.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** What is read from a meta command, and what of it is written to a node. */
+class MetaCommandTest extends NetworkFixture {
+  @Test
+  void onlyTheWaitIsWrittenAnew() throws Command.Malformed {
+    Command read = command("mg k1 v Oa1 Pc=read,d=480,zz=5,t=one x\r\n");
+    assertEquals(
+        "mg k1 v Oa1 Pc=read,d=77,zz=5,t=one x\r\n", read.toNode(Duration.ofMillis(77)).toString());
+    Command write = command("ms k1 2 Oa1 Pc=write,k=9,d=300").with(Buffer.buffer("hi"));
+    assertEquals(
+        "ms k1 2 Oa1 Pc=write,k=9,d=5\r\nhi\r\n", write.toNode(Duration.ofMillis(5)).toString());
+    assertEquals(Duration.ofMillis(300), write.wait);
+    assertEquals(1, write.offering);
+    assertTrue(write.write);
+  }
+
+  /** Both codecs write the labels by one method: what stands around the time does not matter. */
+  @Test
+  void theTimeThatIsLeftIsWrittenWhereverTheLabelStands() throws Command.Malformed {
+    for (String[] form :
+        new String[][] {
+          {"c=read,d=480,zz=5", "c=read,d=77,zz=5"},
+          {"d=480,c=read", "d=77,c=read"},
+          {"c=read,d=480", "c=read,d=77"},
+          {"c=read,d=1", "c=read,d=77"},
+          {"c=read,d=480.25,t=one", "c=read,d=77,t=one"},
+          {"c=read", "c=read"},
+          {"id=9,c=read,zd=8,x=d=7", "id=9,c=read,zd=8,x=d=7"},
+          {"id=9,c=read,zd=8,d=480,x=d=7", "id=9,c=read,zd=8,d=77,x=d=7"}
+        }) {
+      Command command = command("mg k1 v Oa1 P" + form[0] + " x");
+      Duration left = Duration.ofMillis(77);
+      assertEquals("mg k1 v Oa1 P" + form[1] + " x\r\n", command.toNode(left).toString());
+      String head = new HttpWire(ANYWHERE).begin(command, left).toString();
+      assertTrue(head.contains("\r\nX-Labels: " + form[1] + "\r\n"), head);
+    }
+    assertEquals("c=read,d=1", command("mg k v Oa Pc=read,d=9").labels(Duration.ZERO));
+  }
+
+  @Test
+  void aRetryAndTheCustomerAreTakenFromTheLabels() throws Command.Malformed {
+    assertTrue(command("mg k v Oa Pc=read,t=one,r=1,d=5").repeat);
+    assertEquals(0, command("mg k v Oa Pc=read,t=one,d=5").customer);
+    assertEquals(1, command("mg k v Oa Pc=read,t=unknown,d=5").customer, "nobody's quota");
+    assertEquals(Duration.ofMillis(1500), command("mg k v Oa Pc=read").wait);
+  }
+
+  @Test
+  void whatLacksAFieldIsMalformed() {
+    for (String line :
+        new String[] {
+          "mg",
+          "mg  v Oa Pc=read",
+          "mg k v Pc=read",
+          "mg k v Oa Pc=other,d=5",
+          "mg k v Oa Pc=read,d=soon",
+          "mg k v Oa Pc=read,d=NaN",
+          "mg k v Oa Pc=read,d=12f",
+          "mg k v Oa Pc=read,d=-5",
+          "mg k v Oa Pc=read,d=1e9",
+          "mg k v Oa Ob Pc=read",
+          "mg k v O Pc=read",
+          "mg k v Oa/b Pc=read",
+          "mg k v Oa Pc=read,x=\ny",
+          "mg " + "k".repeat(251) + " v Oa Pc=read,d=5"
+        }) {
+      assertThrows(Command.Malformed.class, () -> command(line), line);
+    }
+  }
+
+  @Test
+  void nobodyWaitsBeyondTheOuterLimit() throws Command.Malformed {
+    assertEquals(Duration.ofMillis(1500), command("mg k v Oa Pc=read,d=3600000").wait);
+  }
+}
--- /dev/null
+++ b/src/test/java/pathgw/net/OriginConnectionTest.java
@@ -0,0 +1,108 @@
+package pathgw.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pathgw.Bed;
+
+/** Attempts at the origin over HTTP. */
+class OriginConnectionTest extends PoolFixture {
+  private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+
+  /** What one answer of the origin becomes, and whether its connection is kept. */
+  private String origin(String command, String answer) throws Command.Malformed {
+    link(new Sockets(1), () -> new HttpWire(ANYWHERE)).send(passage(command));
+    Bed.Socket origin = dialled.get(dialled.size() - 1);
+    origin.gives(answer);
+    return (ends.isEmpty() ? "nothing" : ends.remove(0)) + (origin.closed ? " closed" : "");
+  }
+
+  @Test
+  void theOriginIsAskedOverHttp() throws Command.Malformed {
+    assertEquals("ANSWERED VA 2 Oa1\r\nhi\r\n", origin(READ, OK));
+    assertEquals(
+        "GET /k1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Txn: a1\r\n"
+            + "X-Labels: c=read,t=one,d=400\r\n\r\n",
+        dialled.get(0).written.toString());
+    assertEquals("ANSWERED HD Ob2 chi\r\n", origin("ms k/ 1 Ob2 Pc=write", OK));
+    assertEquals(
+        "PUT /k%2F HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Txn: b2\r\nX-Labels: c=write\r\n"
+            + "Content-Length: 1\r\n\r\nv",
+        dialled.get(1).written.toString());
+    assertEquals(
+        "TURNED_AWAY",
+        origin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals("FAILED", origin(READ, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"));
+  }
+
+  @Test
+  void whatStandsAheadOfOrBehindTheOriginsAnswerIsNoAnswer() throws Command.Malformed {
+    String value = "ANSWERED VA 2 Oa1\r\nhi\r\n";
+    assertEquals(
+        value,
+        origin(
+            READ,
+            "HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n"
+                + "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n"
+                + OK));
+    assertEquals("nothing", origin(READ, "HTTP/1.1 102 Wait\r\n\r\n"));
+    assertEquals(
+        value + " closed", origin(READ, OK + OK), "a second copy would answer the next access");
+    assertEquals(value + " closed", origin(READ, OK + "noise"));
+  }
+
+  /** A reset is no end: with no length, what came before it may be half of what there is. */
+  @Test
+  void anAnswerWithoutLengthIsWholeOnlyWhereItsConnectionEndsWell() throws Command.Malformed {
+    String head = "HTTP/1.1 200 OK\r\nX-Txn: a1\r\n\r\n";
+    assertEquals("nothing", origin(READ, head + "h"));
+    dialled.get(0).gives("i");
+    dialled.get(0).ends();
+    assertEquals(List.of("ANSWERED VA 2 Oa1\r\nhi\r\n"), ends);
+    ends.clear();
+    assertEquals("nothing", origin(READ, head + "hi"));
+    dialled.get(1).breaks();
+    assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends);
+    ends.clear();
+    assertEquals("nothing", origin(READ, head.replace("\r\n\r\n", "\r\n")));
+    dialled.get(2).ends();
+    assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends, "not even its head was whole");
+    ends.clear();
+    assertEquals("TURNED_AWAY closed", origin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n\r\n"));
+    assertEquals("OUT_OF_STEP closed", origin(READ, head + "x".repeat(Command.LONGEST_ANSWER + 1)));
+    assertEquals(
+        "ANSWERED VA 2 Oa1\r\nhi\r\n closed",
+        origin(READ, OK.replace("Con", "Connection: close\r\nCon")),
+        "nothing follows on it");
+  }
+
+  @Test
+  void theOriginMayAnswerInChunks() throws Command.Malformed {
+    String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assertEquals(
+        "ANSWERED VA 4 Oa1\r\nhi\r\n\r\n",
+        origin(READ, head + "1;x\r\nh\r\n3\r\ni\r\n\r\n0\r\nT: x\r\n\r\n"));
+    assertEquals(
+        "OUT_OF_STEP closed", origin(READ, head + "5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"));
+  }
+
+  @Test
+  void aSpoiltAnswerOfTheOriginReachesNobody() throws Command.Malformed {
+    for (String answer :
+        new String[] {
+          "noise\r\n\r\n",
+          OK.replace("2\r", "-2\r"),
+          OK.replace("2\r", "x\r"),
+          OK.replace("Con", "no colon here\r\nCon"),
+          OK.replace("Con", "Content-Length: 2\r\nCon"),
+          OK.replace("200", "2x0"),
+          OK.replace("Content-Length: 2", "Transfer-Encoding: chunked") + "\r\n",
+          OK.replace("2\r", "3000000000\r") + "x".repeat(1_100_000),
+          OK.replace("Con", "X-Txn: b2\r\nCon")
+        }) {
+      assertEquals("OUT_OF_STEP closed", origin(READ, answer), answer.substring(0, 9));
+    }
+    assertEquals("OUT_OF_STEP closed", origin("ms k 1 Ob2 Pc=write", OK.replace("hi", "\r\n")));
+  }
+}
