--- /dev/null
+++ b/src/test/java/pathgw/config/TestConfig.java
@@ -0,0 +1,20 @@
+package pathgw.config;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+/** The configuration that tests start from. */
+public final class TestConfig {
+  private TestConfig() {}
+
+  /** The configuration that the rehearsal starts from. */
+  public static String json() {
+    try (InputStream in = TestConfig.class.getResourceAsStream("/pathgw/rehearsal.json")) {
+      return new String(in.readAllBytes(), StandardCharsets.UTF_8).replace("DISCOVERY", "1");
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- a/src/test/java/pathgw/net/ClientConnectionTest.java
+++ b/src/test/java/pathgw/net/ClientConnectionTest.java
@@ -6,14 +6,13 @@
 
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
-import pathgw.Bed;
 
 /** One connection of a client: commands in, responses out in their order. */
 class ClientConnectionTest extends NetworkFixture {
   @Test
   void answersComeInTheOrderOfCommands() {
     nodes("n1");
-    Bed.Socket client = client();
+    FakeConnection client = client();
     client.gives(READ + "mn\r\nquit\r\n");
     assertEquals("", client.written.toString());
     dialled.get(0).gives("VA 2 Oa1\r\nhi\r\n");
@@ -34,7 +33,7 @@
           "x".repeat(3000) + "\r\n",
           "x".repeat(200_000)
         }) {
-      Bed.Socket client = client();
+      FakeConnection client = client();
       client.gives(bytes);
       client.gives("mn\r\n" + "y".repeat(5000));
       String told = client.written.toString();
@@ -48,7 +47,7 @@
 
   @Test
   void hundredsOfCommandsAtOnceAreAnsweredInFewWrites() {
-    Bed.Socket client = client();
+    FakeConnection client = client();
     client.gives("mn\r\n".repeat(300));
     assertEquals("MN\r\n".repeat(300), client.written.toString());
     assertTrue(client.timesWritten < 30, client.timesWritten + " writes");
@@ -57,7 +56,7 @@
   @Test
   void aLargeValueGoesOnInPiecesAsTheClientReads() {
     nodes("n1");
-    Bed.Socket socket = client();
+    FakeConnection socket = client();
     socket.gives(READ);
     String answer = "VA 400000 Oa1\r\n" + "v".repeat(400_000) + "\r\n";
     dialled.get(0).gives(answer);
@@ -80,7 +79,7 @@
 
   @Test
   void aMalformedWriteKeepsItsConnectionInStep() {
-    Bed.Socket client = client();
+    FakeConnection client = client();
     client.gives("ms k 2 Oa Pc=none\r\nmn\r\nmn\r\n");
     assertEquals("CLIENT_ERROR no known class\r\nMN\r\n", client.written.toString());
   }
@@ -88,7 +87,7 @@
   @Test
   void atTheStopAConnectionEndsBehindItsLastAnswer() {
     nodes("n1");
-    Bed.Socket socket = client();
+    FakeConnection socket = client();
     socket.gives(READ);
     client.endBetweenCommands();
     assertFalse(socket.endsWriting);
@@ -110,7 +109,7 @@
   @Test
   void atTheStopWhatIsHeldBackIsAnsweredToo() {
     nodes("n1");
-    Bed.Socket socket = client();
+    FakeConnection socket = client();
     socket.gives(READ + "mn\r\n".repeat(20));
     client.endBetweenCommands();
     assertEquals("", socket.written.toString());
@@ -122,7 +121,7 @@
   @Test
   void halfACommandAndACloseIsNoCommand() {
     nodes("n1");
-    Bed.Socket client = client();
+    FakeConnection client = client();
     client.gives(READ.trim());
     client.breaks();
     assertEquals(0, dialled.size());
@@ -131,7 +130,7 @@
   @Test
   void whoSaysNothingOrHalfACommandIsIdle() {
     nodes("n1");
-    Bed.Socket socket = client();
+    FakeConnection socket = client();
     socket.gives("ms k 2 Oa Pc=wr");
     after(2000);
     assertFalse(client.idleFor(Duration.ofSeconds(2)), "the loop stood still: more may lie unread");
@@ -140,7 +139,7 @@
     client();
     assertFalse(client.idleFor(Duration.ofSeconds(2)));
     assertEquals(1, client.standing());
-    Bed.Socket slow = client();
+    FakeConnection slow = client();
     slow.gives("mn\r\n");
     nanos += Duration.ofMillis(1900).toNanos();
     slow.gives("mg k1 v O");
@@ -152,7 +151,7 @@
   @Test
   void whoseCommandMayLieUnreadIsNotClosedAsIdle() {
     nodes("n1");
-    Bed.Socket socket = client();
+    FakeConnection socket = client();
     socket.gives("mn\r\n");
     after(250);
     assertFalse(client.idleFor(Duration.ofMillis(100)));
--- a/src/test/java/pathgw/net/ConnectionPoolTest.java
+++ b/src/test/java/pathgw/net/ConnectionPoolTest.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
-import pathgw.Bed;
 import pathgw.How;
 import pathgw.Standing;
 
@@ -122,7 +121,7 @@
 
   @Test
   void aValueGoesOnAsItCame() throws Command.Malformed {
-    Bed.Socket node = sent();
+    FakeConnection node = sent();
     node.gives("VA 2 Oa1 h");
     node.gives("1\r\n\r\n");
     assertEquals(List.of(), ends);
@@ -207,13 +206,13 @@
     for (String more : new String[] {"VA 2 Oa1\r\nhi\r\n", "?", "\r\n"}) {
       NodeLink link = link(2);
       link.send(passage());
-      Bed.Socket node = dialled.get(dialled.size() - 1);
+      FakeConnection node = dialled.get(dialled.size() - 1);
       node.gives("VA 2 Oa1\r\nhi\r\n" + more);
       assertTrue(node.closed);
     }
     assertEquals(Set.of("ANSWERED VA 2 Oa1\r\nhi\r\n"), Set.copyOf(ends));
     link(1).send(passage());
-    Bed.Socket later = dialled.get(dialled.size() - 1);
+    FakeConnection later = dialled.get(dialled.size() - 1);
     later.gives("EN Oa1\r\n");
     later.gives("?");
     assertTrue(later.closed, "nor does what comes a moment later");
@@ -221,7 +220,7 @@
 
   @Test
   void anAnswerThatStopsHalfWayIsNotWaitedFor() throws Command.Malformed {
-    Bed.Socket node = sent();
+    FakeConnection node = sent();
     node.gives("VA 9 Oa1\r\nhi");
     after(100);
     node.gives("ho");
--- a/src/test/java/pathgw/net/Cost.java
+++ b/src/test/java/pathgw/net/Cost.java
@@ -9,11 +9,11 @@
 import java.util.Locale;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import pathgw.Bed;
 import pathgw.Decide;
 import pathgw.How;
 import pathgw.config.Config;
 import pathgw.config.Json;
+import pathgw.config.TestConfig;
 
 /**
  * What an access and a whole list cost, by the number of nodes. No test: it prints what
@@ -21,7 +21,8 @@
  * -XX:+UseSerialGC -Xmx34m}).
  */
 final class Cost {
-  private static final Config CONFIG = Config.read(Bed.config().getBytes(StandardCharsets.UTF_8));
+  private static final Config CONFIG =
+      Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8));
   private static final int ACCESSES = 3000;
   private static final int LISTS = 40;
 
--- a/src/test/java/pathgw/net/DiscoveryTest.java
+++ b/src/test/java/pathgw/net/DiscoveryTest.java
@@ -12,13 +12,13 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pathgw.Bed;
 import pathgw.Decide;
 import pathgw.Learnt;
 import pathgw.Standing;
 import pathgw.config.Address;
 import pathgw.config.Config;
 import pathgw.config.Json;
+import pathgw.config.TestConfig;
 
 /** Watches and polls of the endpoint list, and what each kind of end does to the lease on it. */
 class DiscoveryTest extends NetworkFixture {
@@ -80,7 +80,7 @@
     client().gives(READ);
     assertEquals(1, dialled.size());
     discovery.take(list(6, false, "draining"), false);
-    Bed.Socket late = client();
+    FakeConnection late = client();
     late.gives(READ);
     assertEquals(1, dialled.size(), "nothing new once told");
   }
@@ -147,7 +147,7 @@
     Discovery discovery = discovery();
     desk.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, links::closeIdle);
     desk.tell(module -> {});
-    Bed.Socket first = dialled.get(0);
+    FakeConnection first = dialled.get(0);
     first.gives(BEGINS + chunk(5, true, "ready"));
     for (int ms = 0; ms < 5900; ms += 10) {
       pass(10);
@@ -191,7 +191,7 @@
       dialled.stream()
           .filter(s -> !s.closed && s.written.toString().startsWith("GET"))
           .toList()
-          .forEach(Bed.Socket::breaks);
+          .forEach(FakeConnection::breaks);
     }
     asks();
     assertEquals(2, handOffs(), "until 6 s after the line");
@@ -211,7 +211,8 @@
   @Test
   void anAgentThatPushesIsAskedAgainWithinTheGrace() {
     Config pushed =
-        Config.read(Bed.config().replace("\"ask\"", "\"push\"").getBytes(StandardCharsets.UTF_8));
+        Config.read(
+            TestConfig.json().replace("\"ask\"", "\"push\"").getBytes(StandardCharsets.UTF_8));
     Discovery discovery =
         new Discovery(this::dial, agenda, desk, links, pushed, new Keepsake(), what -> {});
     desk.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, links::closeIdle);
@@ -258,7 +259,7 @@
         false);
     asks();
     assertEquals(1, handOffs());
-    Bed.Socket first = dialled.get(0);
+    FakeConnection first = dialled.get(0);
     discovery.take(
         Json.read(
             text(7, false, "ready")
@@ -289,12 +290,12 @@
       life = new Life(agenda, desk, links, CONFIG.answerSlack(), Watcher.NONE);
       Discovery discovery = discovery();
       discovery.take(list(5, true, "ready"), false);
-      Bed.Socket asked = client();
+      FakeConnection asked = client();
       asked.gives(READ);
       discovery.take(list(6, false, health), false);
       assertTrue(
           asked.written.toString().startsWith("SERVER_ERROR busy"), "no other node: told at once");
-      Bed.Socket up = new Bed.Socket();
+      FakeConnection up = new FakeConnection();
       comingUp.get(0).complete(up);
       assertEquals("", up.written.toString(), health);
     }
--- a/src/test/java/pathgw/net/HeldOutside.java
+++ b/src/test/java/pathgw/net/HeldOutside.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import pathgw.Bed;
 import pathgw.config.Address;
 
 /**
@@ -16,7 +15,7 @@
 final class HeldOutside implements Outside {
   private record Timer(long at, Runnable what) {}
 
-  final List<Bed.Socket> dialled = new ArrayList<>();
+  final List<FakeConnection> dialled = new ArrayList<>();
   Consumer<Pipe> arrives;
   BiConsumer<Buffer, Address> heard;
   private final List<Timer> timers = new ArrayList<>();
@@ -52,7 +51,7 @@
 
   @Override
   public Future<Pipe> dial(Address to, Duration within) {
-    Bed.Socket socket = new Bed.Socket();
+    FakeConnection socket = new FakeConnection();
     dialled.add(socket);
     return Future.succeededFuture(socket);
   }
--- a/src/test/java/pathgw/net/KeepsakeTest.java
+++ b/src/test/java/pathgw/net/KeepsakeTest.java
@@ -11,12 +11,12 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pathgw.Bed;
 import pathgw.Decide;
 import pathgw.Learnt;
 import pathgw.Standing;
 import pathgw.config.Address;
 import pathgw.config.Config;
+import pathgw.config.TestConfig;
 
 /** What a start takes up of the proxy before it, and what it must not. */
 class KeepsakeTest {
@@ -40,7 +40,7 @@
 
   private static Decide module() {
     Decide module =
-        new Decide(Config.read(Bed.config().getBytes(StandardCharsets.UTF_8)).settings(), 1);
+        new Decide(Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)).settings(), 1);
     module.listBegins(true, false);
     module.listed(1, Standing.READY, null, 0, 0, 0);
     module.listed(2, Standing.READY, null, 0, 0, 0);
--- a/src/test/java/pathgw/net/ListCallTest.java
+++ b/src/test/java/pathgw/net/ListCallTest.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pathgw.Bed;
 import pathgw.config.Address;
 
 /** A call to the node list, whose answer the test writes byte by byte. */
@@ -14,7 +13,7 @@
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
   private final List<String> heard = new ArrayList<>();
-  private final Bed.Socket list = new Bed.Socket();
+  private final FakeConnection list = new FakeConnection();
   private final ListCall call =
       new ListCall(line -> heard.add(line.toString()), end -> heard.add("! " + end));
 
--- a/src/test/java/pathgw/net/NetworkFixture.java
+++ b/src/test/java/pathgw/net/NetworkFixture.java
@@ -8,22 +8,23 @@
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
-import pathgw.Bed;
 import pathgw.Decide;
 import pathgw.Standing;
 import pathgw.config.Address;
 import pathgw.config.Config;
+import pathgw.config.TestConfig;
 
 /**
  * The way of a request from its client to the nodes, with connections and a clock that the test
  * holds.
  */
 abstract class NetworkFixture {
-  protected static final Config CONFIG = Config.read(Bed.config().getBytes(StandardCharsets.UTF_8));
+  protected static final Config CONFIG =
+      Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8));
   protected static final String READ = "mg k1 v Oa1 Pc=read,t=one,d=480\r\n";
   protected static final Address ANYWHERE = new Address("127.0.0.1", 1);
 
-  protected final List<Bed.Socket> dialled = new ArrayList<>();
+  protected final List<FakeConnection> dialled = new ArrayList<>();
   protected long nanos;
   protected final List<Timer> timers = new ArrayList<>();
   protected Agenda agenda;
@@ -49,7 +50,7 @@
   }
 
   protected Future<Pipe> dial(Address address) {
-    Bed.Socket socket = new Bed.Socket();
+    FakeConnection socket = new FakeConnection();
     dialled.add(socket);
     return Future.succeededFuture(socket);
   }
@@ -67,11 +68,11 @@
         });
   }
 
-  protected Bed.Socket client() {
-    return clientOn(new Bed.Socket());
+  protected FakeConnection client() {
+    return clientOn(new FakeConnection());
   }
 
-  protected Bed.Socket clientOn(Bed.Socket socket) {
+  protected FakeConnection clientOn(FakeConnection socket) {
     client =
         new Client(
             socket,
--- a/src/test/java/pathgw/net/OriginConnectionTest.java
+++ b/src/test/java/pathgw/net/OriginConnectionTest.java
@@ -4,7 +4,6 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pathgw.Bed;
 
 /** Attempts at the origin over HTTP. */
 class OriginConnectionTest extends PoolFixture {
@@ -13,7 +12,7 @@
   /** What one answer of the origin becomes, and whether its connection is kept. */
   private String origin(String command, String answer) throws Command.Malformed {
     link(new Sockets(1), () -> new HttpWire(ANYWHERE)).send(passage(command));
-    Bed.Socket origin = dialled.get(dialled.size() - 1);
+    FakeConnection origin = dialled.get(dialled.size() - 1);
     origin.gives(answer);
     return (ends.isEmpty() ? "nothing" : ends.remove(0)) + (origin.closed ? " closed" : "");
   }
--- a/src/test/java/pathgw/net/PoolFixture.java
+++ b/src/test/java/pathgw/net/PoolFixture.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
-import pathgw.Bed;
 
 /** Attempts on a pool of connections, whose ends are kept as words. */
 abstract class PoolFixture extends NetworkFixture {
@@ -31,7 +30,7 @@
     return new NodeLink(this::dial, wires, agenda, sockets, ANYWHERE, Duration.ofSeconds(11));
   }
 
-  protected Bed.Socket sent() throws Command.Malformed {
+  protected FakeConnection sent() throws Command.Malformed {
     link(1).send(passage());
     return dialled.get(0);
   }
--- a/src/test/java/pathgw/net/ProcessIT.java
+++ b/src/test/java/pathgw/net/ProcessIT.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import pathgw.Bed;
+import pathgw.config.TestConfig;
 import pathgw.net.RawWorld.Door;
 import pathgw.net.RawWorld.Peer;
 
@@ -76,7 +76,7 @@
   private void configure(int discovery) throws IOException {
     Files.writeString(
         folder.resolve("config.json"),
-        Bed.config()
+        TestConfig.json()
             // Else an attempt that is out for long is taken back, and the answer comes from
             // elsewhere.
             .replace("\"cancel\": true", "\"cancel\": false")
--- a/src/test/java/pathgw/net/RawWorld.java
+++ b/src/test/java/pathgw/net/RawWorld.java
@@ -16,9 +16,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
-import pathgw.Bed;
 import pathgw.config.Address;
 import pathgw.config.Config;
+import pathgw.config.TestConfig;
 
 /**
  * One proxy on real sockets between raw peers that the test holds byte by byte. Its loop can be
@@ -132,7 +132,7 @@
         Config.read(
             changes
                 .apply(
-                    Bed.config()
+                    TestConfig.json()
                         .replace(
                             "\"discovery\": \"127.0.0.1:1\"",
                             "\"discovery\": \"127.0.0.1:" + list.port() + "\""))
--- a/src/test/java/pathgw/net/RequestHandlerTest.java
+++ b/src/test/java/pathgw/net/RequestHandlerTest.java
@@ -10,9 +10,9 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pathgw.Bed;
 import pathgw.Decide;
 import pathgw.config.Config;
+import pathgw.config.TestConfig;
 
 /** One request from its arrival to its one response. */
 class RequestHandlerTest extends NetworkFixture {
@@ -20,7 +20,7 @@
   void anIdThatIsStillOpenIsNotTakenTwice() {
     nodes("n1");
     client().gives(READ);
-    Bed.Socket other = client();
+    FakeConnection other = client();
     other.gives(READ);
     assertEquals("CLIENT_ERROR id in use\r\n", other.written.toString());
     dialled.get(0).gives("EN Oa1\r\n");
@@ -31,7 +31,7 @@
 
   @Test
   void withoutAnyNodeAnAccessIsDenied() {
-    Bed.Socket client = client();
+    FakeConnection client = client();
     client.gives(READ);
     assertEquals("SERVER_ERROR busy 1500\r\n", client.written.toString());
     assertEquals(0, desk.open());
@@ -40,7 +40,7 @@
   @Test
   void nothingIsSentForAClientThatHasGone() {
     nodes("n1", "n2");
-    Bed.Socket client = client();
+    FakeConnection client = client();
     client.gives(READ);
     client.breaks();
     assertTrue(dialled.get(0).closed, "what is out is taken back");
@@ -51,7 +51,7 @@
   @Test
   void aNodeThatBreaksLeavesTheAccessToTheNext() {
     nodes("n1", "n2");
-    Bed.Socket client = client();
+    FakeConnection client = client();
     client.gives(READ);
     dialled.get(0).breaks();
     assertEquals(2, dialled.size());
@@ -65,11 +65,11 @@
     nanos = Duration.ofMillis(100).toNanos();
     agenda.in(Duration.ofMillis(1), () -> {});
     nanos = Duration.ofMillis(700).toNanos();
-    Bed.Socket client = client();
+    FakeConnection client = client();
     client.gives(READ);
     assertEquals("", client.written.toString(), "news may lie unread behind it");
     after(0);
-    Bed.Socket later = client();
+    FakeConnection later = client();
     later.gives(READ.replace("Oa1", "Oa2"));
     after(1);
     after(1);
@@ -101,7 +101,7 @@
   void whatWaitsForAConnectionLeavesWithItsClient() {
     Config uncancelled =
         Config.read(
-            Bed.config()
+            TestConfig.json()
                 .replace("\"cancel\": true", "\"cancel\": false")
                 .getBytes(StandardCharsets.UTF_8));
     desk = new Desk(agenda, new Decide(uncancelled.settings(), 1));
@@ -110,10 +110,10 @@
     links = new Links(to -> comingUp.future(), this::dial, agenda, CONFIG, 8);
     life = new Life(agenda, desk, links, CONFIG.answerSlack(), Watcher.NONE);
     nodes("n1");
-    Bed.Socket gone = client();
+    FakeConnection gone = client();
     gone.gives(READ);
     gone.ends();
-    Bed.Socket up = new Bed.Socket();
+    FakeConnection up = new FakeConnection();
     comingUp.complete(up);
     assertEquals("", up.written.toString());
     assertEquals(0, desk.open());
--- a/src/test/java/pathgw/net/SizeTest.java
+++ b/src/test/java/pathgw/net/SizeTest.java
@@ -11,10 +11,10 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import pathgw.Bed;
 import pathgw.Decide;
 import pathgw.config.Address;
 import pathgw.config.Config;
+import pathgw.config.TestConfig;
 
 /** A thousand proxies before a thousand cache nodes, as one of them sees it. */
 class SizeTest {
@@ -67,7 +67,7 @@
             .collect(Collectors.joining(","));
     Config config =
         Config.read(
-            Bed.config()
+            TestConfig.json()
                 .replaceFirst(
                     "\\{",
                     "{\"peer_listen\": \"10.9.0.0:7946\", "
@@ -105,7 +105,7 @@
     Life life = new Life(agenda, desk, links, config.answerSlack(), Watcher.NONE);
     RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), agenda);
     for (int i = 0; i < 200; i++) {
-      Bed.Socket asks = new Bed.Socket();
+      FakeConnection asks = new FakeConnection();
       new Client(asks, config, agenda, life, limitedLog, c -> {});
       asks.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
     }
--- a/src/test/java/pathgw/net/StopTest.java
+++ b/src/test/java/pathgw/net/StopTest.java
@@ -6,14 +6,14 @@
 import io.vertx.core.Future;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
-import pathgw.Bed;
 import pathgw.config.Config;
+import pathgw.config.TestConfig;
 
 /** A proxy that has been told to end. */
 class StopTest {
   private final HeldOutside outside = new HeldOutside();
   private final Proxy proxy =
-      new Proxy(outside, Config.read(Bed.config().getBytes(StandardCharsets.UTF_8)), 0);
+      new Proxy(outside, Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)), 0);
 
   @Test
   void toldBeforeItsStartItEndsAtOnce() {
@@ -25,7 +25,7 @@
   void aConfigurationReadAgainBeforeTheStartCounts() {
     proxy.readAgain(
         Config.read(
-            Bed.config()
+            TestConfig.json()
                 .replace("\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"127.0.0.1:77\"")
                 .getBytes(StandardCharsets.UTF_8)));
     proxy.start();
@@ -40,7 +40,7 @@
     Future<Void> stopped = proxy.stop();
     proxy.readAgain(
         Config.read(
-            Bed.config()
+            TestConfig.json()
                 .replace("\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"127.0.0.1:77\"")
                 .getBytes(StandardCharsets.UTF_8)));
     outside.pass(530);
@@ -57,7 +57,7 @@
     outside.pass(10);
     Future<Void> stopped = proxy.stop();
     for (int ms = 0; ms < 1100; ms += 100) {
-      outside.arrives.accept(new Bed.Socket());
+      outside.arrives.accept(new FakeConnection());
       outside.pass(100);
     }
     assertTrue(stopped.isComplete());
--- a/src/test/java/pathgw/net/VertxOutsideTest.java
+++ b/src/test/java/pathgw/net/VertxOutsideTest.java
@@ -55,7 +55,7 @@
       Pipe dialled = done(outside.dial(new Address(HERE, port), Duration.ofSeconds(5)));
       for (Pipe end : List.of(dialled, done(came.future()))) {
         assertTrue(
-            ((VertxOutside.Socket) end).channel().config().getOption(ChannelOption.TCP_NODELAY));
+            ((VertxOutside.VertxConnection) end).channel().config().getOption(ChannelOption.TCP_NODELAY));
       }
     } finally {
       done(vertx.close());
--- a/src/test/java/pathgw/net/WarmUpTest.java
+++ b/src/test/java/pathgw/net/WarmUpTest.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pathgw.Bed;
 
 /** Requests that a proxy sends through itself before the first client is served. */
 class WarmUpTest extends NetworkFixture {
@@ -28,7 +27,7 @@
   @Test
   void aStrangerFromAPortOfOnesOwnNumberStaysAStranger() {
     WarmUp warmUp = warmUp();
-    Bed.Socket stranger = new Bed.Socket();
+    FakeConnection stranger = new FakeConnection();
     stranger.from = "127.9.0.1";
     warmUp.arrived(stranger, 2);
     stranger.gives("mn\r\n");
@@ -38,12 +37,12 @@
   @Test
   void aWarmUpThatIsStuckStillEndsAndHandsOverWhoWaits() {
     WarmUp warmUp = warmUp();
-    Bed.Socket stranger = new Bed.Socket();
+    FakeConnection stranger = new FakeConnection();
     stranger.from = "127.9.0.1";
     warmUp.arrived(stranger, 2);
     after(5000);
     assertEquals(1, strangers.size());
-    assertTrue(warmUp.late(new Bed.Socket()), "what it dialled itself is no client");
+    assertTrue(warmUp.late(new FakeConnection()), "what it dialled itself is no client");
     assertFalse(warmUp.late(strangers.get(0)));
   }
 
@@ -66,9 +65,9 @@
   @Test
   void moreThanTheLimitDoNotWaitForTheWarmUpButItsOwnDo() {
     WarmUp warmUp = warmUp();
-    List<Bed.Socket> sockets = new ArrayList<>();
+    List<FakeConnection> sockets = new ArrayList<>();
     for (String from : new String[] {"127.9.0.1", "127.9.0.2", "127.9.0.3", "127.0.0.1"}) {
-      sockets.add(new Bed.Socket());
+      sockets.add(new FakeConnection());
       sockets.get(sockets.size() - 1).from = from;
     }
     assertEquals(
