--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -34,6 +34,6 @@
     -XX:ActiveProcessorCount=1 -XX:TieredStopAtLevel=1 -XX:ThreadPriorityPolicy=1 -XX:CompilerThreadPriority=10 \
     -Xss512k -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m \
     -Djava.library.path=target/native -Dvertx.logger-delegate-factory-class-name=io.vertx.core.logging.JULLogDelegateFactory \
-    -Djava.util.logging.manager=pathgw.net.LastingLogs -Djava.util.logging.config.file=deploy/logging.properties \
+    -Djava.util.logging.manager=pathgw.observability.ShutdownSafeLogManager -Djava.util.logging.config.file=deploy/logging.properties \
     -Dvertx.disableDnsResolver=true -Dio.netty.native.workdir="${TMPDIR:-/tmp}" -Dio.netty.jfr.enabled=false -Dio.netty.allocator.numDirectArenas=1 \
     -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.maxOrder=3 -jar target/pathgw.jar serve
--- a/src/main/java/pathgw/command/Cli.java
+++ b/src/main/java/pathgw/cli/Cli.java
@@ -1,4 +1,4 @@
-package pathgw.command;
+package pathgw.cli;
 
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -7,7 +7,7 @@
 @Command(
     name = "pathgw",
     mixinStandardHelpOptions = true,
-    subcommands = Simulate.class,
+    subcommands = SimulateCommand.class,
     description = {
       "A proxy that spreads keys over cache nodes before a slow origin.",
       "Besides the commands below: serve, benchlink, rehearse."
--- a/src/main/java/pathgw/command/Simulate.java
+++ b/src/main/java/pathgw/cli/SimulateCommand.java
@@ -1,4 +1,4 @@
-package pathgw.command;
+package pathgw.cli;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -11,8 +11,8 @@
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
-import pathgw.config.BadInput;
-import pathgw.simulation.Seeds;
+import pathgw.config.InvalidInputException;
+import pathgw.simulation.SeedRange;
 import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -25,7 +25,7 @@
     name = "simulate",
     mixinStandardHelpOptions = true,
     description = "Plays the proxy on a virtual network and clock, with troubles drawn from seeds.")
-final class Simulate implements Callable<Integer> {
+final class SimulateCommand implements Callable<Integer> {
   private static final class What {
     @Option(names = "--seeds", paramLabel = "FROM-TO", description = "All seeds of this range.")
     private String seeds;
@@ -37,7 +37,7 @@
         names = "--script",
         paramLabel = "FILE",
         description = "A script, as a failing run leaves one.")
-    private Path script;
+    private Path scenario;
   }
 
   @Spec private CommandSpec spec;
@@ -75,13 +75,14 @@
     if (what.seed != null && what.seed < 0) {
       throw new ParameterException(spec.commandLine(), "--seed is below 0");
     }
-    String script = what.seed != null ? Seeds.script(what.seed, fleet) : read(what.script);
+    String scenario =
+        what.seed != null ? SeedRange.scenario(what.seed, fleet) : read(what.scenario);
     try {
-      String breach = Seeds.trace(script, trace ? System.out::println : null);
-      System.out.println(breach == null ? "all rules kept" : script + breach);
+      String breach = SeedRange.trace(scenario, trace ? System.out::println : null);
+      System.out.println(breach == null ? "all rules kept" : scenario + breach);
       return breach == null ? 0 : 1;
-    } catch (BadInput e) {
-      throw new ParameterException(spec.commandLine(), what.script + ": " + e.getMessage());
+    } catch (InvalidInputException e) {
+      throw new ParameterException(spec.commandLine(), what.scenario + ": " + e.getMessage());
     }
   }
 
@@ -124,11 +125,11 @@
             System.err.printf("\r%d of %d seeds, %d failed ", so[0], to - from + 1, so[1]);
           }
         };
-    Seeds.Sum sum =
+    SeedRange.Sum sum =
         fleet
-            ? Seeds.fleets(from, to, jobs, true, played)
-            : Seeds.play(from, to, jobs, true, played);
-    for (Seeds.Failure f : sum.failed()) {
+            ? SeedRange.fleets(from, to, jobs, true, played)
+            : SeedRange.play(from, to, jobs, true, played);
+    for (SeedRange.Failure f : sum.failed()) {
       System.out.println("seed " + f.seed() + ": " + f.breach());
       if (!f.shrunk().isEmpty()) {
         System.out.println(f.shrunk().indent(4));
--- a/src/main/java/pathgw/command/package-info.java
+++ b/src/main/java/pathgw/cli/package-info.java
@@ -2,4 +2,4 @@
  * The command line, thin: words to calls, results to lines and exit codes. Nothing uses it but
  * {@code Main}.
  */
-package pathgw.command;
+package pathgw.cli;
--- a/src/main/java/pathgw/Kind.java
+++ b/src/main/java/pathgw/decision/NodeKind.java
@@ -1,9 +1,9 @@
-package pathgw;
+package pathgw.decision;
 
 /**
  * What nodes of one machine kind do: one proxy meets a single node too seldom to learn it of each.
  */
-final class Kind {
+final class NodeKind {
   double late;
   double part = 1;
 }
--- a/src/main/java/pathgw/Learnt.java
+++ b/src/main/java/pathgw/decision/NodeSnapshot.java
@@ -1,11 +1,11 @@
-package pathgw;
+package pathgw.decision;
 
 /**
  * What a proxy has learnt of one node and a later start may go on from: outcomes at a machine that
  * has run through. Paces, gates, rooms, shares and kinds were measured under one shape of
  * deployment and begin anew.
  */
-public record Learnt(double wins, double losses, double doubt, boolean doubtful) {
+public record NodeSnapshot(double wins, double losses, double doubt, boolean suspected) {
   private static final double MOST = 10;
 
   /** Whether it can have come from here: beyond these no outcome would outweigh it. */
--- a/src/main/java/pathgw/standin/Witness.java
+++ b/src/main/java/pathgw/fake/BackendObserver.java
@@ -1,20 +1,20 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import java.util.List;
 
-/** Hears what truly happened at the stand-ins, whatever the proxies believe. */
-public interface Witness {
+/** Hears what truly happened at the fakes, whatever the proxies believe. */
+public interface BackendObserver {
   /** One arrival of work, for the count of who pushed a node over. */
   record Arrival(long atNanos, String from, String id) {}
 
   /**
-   * An access was taken on and runs, or will.
+   * A request was taken on and runs, or will.
    *
-   * @param again it is a repeat that the memory of marked accesses dropped
+   * @param again it is a repeat that the memory of marked requests dropped
    */
   void ran(String place, Request request, boolean again);
 
-  /** An access was refused unseen. */
+  /** A request was refused unseen. */
   void turnedAway(String place, Request request);
 
   /**
@@ -25,14 +25,14 @@
   void missed(String place, Request request, boolean cold);
 
   /**
-   * An answer that may be served for this access and no other.
+   * An answer that may be served for this request and no other.
    *
    * @param answer a value or a receipt
    */
   void made(String place, Request request, String answer);
 
   /**
-   * A cold node took an access.
+   * A cold node took a request.
    *
    * @param part of what pushes it over has come by now
    */
@@ -45,7 +45,7 @@
   void collapsed(List<Arrival> work);
 
   /**
-   * A line of the node list was written to a proxy.
+   * A line of the endpoint list was written to a proxy.
    *
    * @param host empty after a whole list: whom it did not name is gone
    * @param health {@code ready}, {@code draining} or {@code gone}
--- a/src/main/java/pathgw/standin/Ask.java
+++ b/src/main/java/pathgw/fake/ClientAttempt.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import java.time.Duration;
 
@@ -6,15 +6,16 @@
  * One try of a client.
  *
  * @param id new with every try
- * @param mark what a numbered access is known by, the same with every try; empty otherwise
+ * @param mark what a idempotency-keyed request is known by, the same with every try; empty
+ *     otherwise
  * @param first when the client first asked
  * @param at when this try was written whole
  * @param patience how long the client waits for this try
  */
-public record Ask(
+public record ClientAttempt(
     String id,
-    Clients.Offering offering,
-    int customer,
+    FakeClients.RequestClass requestClass,
+    int tenant,
     String key,
     String mark,
     Duration first,
--- a/src/main/java/pathgw/standin/Clock.java
+++ b/src/main/java/pathgw/fake/Clock.java
@@ -1,8 +1,8 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import java.time.Duration;
 
-/** Time as one stand-in has it; what it asked for does not happen once its process has gone. */
+/** Time as one fake has it; what it asked for does not happen once its process has gone. */
 public interface Clock {
   /** Since the start of the world. */
   Duration now();
--- a/src/main/java/pathgw/standin/Talk.java
+++ b/src/main/java/pathgw/fake/ConnectionHandler.java
@@ -1,9 +1,9 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 
-/** What a stand-in makes of one connection. */
-public interface Talk {
+/** What a fake makes of one connection. */
+public interface ConnectionHandler {
   /** Bytes as they come, cut anywhere. */
   void came(Buffer bytes);
 
--- a/src/main/java/pathgw/standin/Side.java
+++ b/src/main/java/pathgw/fake/ConnectionSide.java
@@ -1,9 +1,9 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 
-/** A stand-in's side of one connection. */
-public interface Side {
+/** A fake's side of one connection. */
+public interface ConnectionSide {
   void write(Buffer bytes);
 
   /** After what was written. */
--- a/src/main/java/pathgw/standin/Memory.java
+++ b/src/main/java/pathgw/fake/DedupMemory.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,10 +9,10 @@
 import java.util.function.Consumer;
 
 /**
- * What a group remembers of marked accesses: the receipt of the first, for a while from when it
+ * What a group remembers of marked requests: the receipt of the first, for a while from when it
  * began.
  */
-public final class Memory {
+public final class DedupMemory {
   private static final class Known {
     final Duration until;
     String receipt;
@@ -26,7 +26,7 @@
   private final Duration span;
   private final Map<String, Known> known = new LinkedHashMap<>();
 
-  public Memory(Duration span) {
+  public DedupMemory(Duration span) {
     this.span = span;
   }
 
--- a/src/main/java/pathgw/standin/CacheNode.java
+++ b/src/main/java/pathgw/fake/FakeCacheNode.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -7,11 +7,11 @@
 import java.util.Random;
 
 /** A cache node: keeps copies, warms up, falls over when cold and overdriven, drains. */
-public final class CacheNode extends Place {
+public final class FakeCacheNode extends FakeServer {
   /**
    * What it bears.
    *
-   * @param service what one access takes on a warm node
+   * @param service what one request takes on a warm node
    * @param queue how many may wait
    * @param idle how long a connection may stand idle
    * @param coldFrom the share of its capacity that it begins with
@@ -31,46 +31,46 @@
       double tipMultiple,
       Duration fallFor,
       int keeps,
-      Origin origin) {}
+      FakeOrigin origin) {}
 
   private final Figures figures;
   private final Duration coldSince;
-  private final Memory memory;
-  private final Workers workers;
-  private final Pressure pressure;
+  private final DedupMemory memory;
+  private final WorkerQueue workers;
+  private final OverloadWindow pressure;
   private final Runnable fallsOver;
   private final Map<String, Integer> copies;
   private boolean draining;
 
   /**
    * @param coldSince when it began empty; null for one that has been warm for long
-   * @param memory of marked accesses, shared with its group
+   * @param memory of marked requests, shared with its group
    * @param fallsOver ends this node for good
    */
-  public CacheNode(
+  public FakeCacheNode(
       String name,
       Clock clock,
       Random chance,
-      Witness witness,
-      Mischief mischief,
+      BackendObserver observer,
+      FaultInjection faults,
       Figures figures,
       Duration coldSince,
-      Memory memory,
+      DedupMemory memory,
       Runnable fallsOver) {
-    super(name, clock, chance, witness, mischief, figures.connections(), figures.idle());
+    super(name, clock, chance, observer, faults, figures.connections(), figures.idle());
     this.figures = figures;
     this.coldSince = coldSince;
     this.memory = memory;
     this.fallsOver = fallsOver;
     workers =
-        new Workers(
+        new WorkerQueue(
             clock,
             chance,
             figures.slots(),
             figures.service(),
             figures.queue(),
-            () -> mischief.slower / warmth());
-    pressure = new Pressure(figures.fallFor(), 2, 2);
+            () -> faults.slower / warmth());
+    pressure = new OverloadWindow(figures.fallFor(), 2, 2);
     copies =
         new LinkedHashMap<>(64, 0.75f, true) {
           private static final long serialVersionUID = 1L;
@@ -113,8 +113,8 @@
   }
 
   @Override
-  Requests reader(Conversation talk) {
-    return Requests.meta(talk::take, talk::unreadable);
+  RequestReader reader(Conversation talk) {
+    return RequestReader.meta(talk::take, talk::unreadable);
   }
 
   @Override
@@ -127,9 +127,9 @@
     if (cold()) {
       pressure.arrived(clock.now(), reply.from(), request.id());
       double capacity = figures.slots() * 1e9 / figures.service().toNanos() * warmth();
-      witness.pressed(pressure.part(figures.tipMultiple() * capacity));
+      observer.pressed(pressure.part(figures.tipMultiple() * capacity));
       if (pressure.over(figures.tipMultiple() * capacity)) {
-        witness.pushedOver(name, pressure.work());
+        observer.pushedOver(name, pressure.work());
         fallsOver.run();
         return;
       }
@@ -138,13 +138,13 @@
       turnAway(request, reply);
       return;
     }
-    // A marked access is known from here on, and its repeats wait for its receipt.
+    // A marked request is known from here on, and its repeats wait for its receipt.
     String mark = request.label('k');
     boolean again =
         request.write()
             && !mark.isEmpty()
             && memory.repeats(mark, clock.now(), receipt -> receipt(request, reply, receipt));
-    witness.ran(name, request, again);
+    observer.ran(name, request, again);
     if (!again) {
       workers.work(() -> end(request, reply));
     }
@@ -152,7 +152,7 @@
 
   private void end(Request request, Reply reply) {
     Integer version = copies.get(request.key());
-    if (mischief.fails > 0 && chance.nextDouble() < mischief.fails) {
+    if (faults.fails > 0 && chance.nextDouble() < faults.fails) {
       reply.give(failed(request));
     } else if (request.write()) {
       figures
@@ -170,10 +170,10 @@
     } else if (version != null) {
       value(request, reply, version, true);
     } else if (figures.origin() == null) {
-      witness.missed(name, request, cold());
+      observer.missed(name, request, cold());
       reply.give(Buffer.buffer("EN O" + request.id() + "\r\n"));
     } else {
-      witness.missed(name, request, cold());
+      observer.missed(name, request, cold());
       figures
           .origin()
           .read(
@@ -191,13 +191,13 @@
   }
 
   private void receipt(Request request, Reply reply, String receipt) {
-    witness.made(name, request, receipt);
+    observer.made(name, request, receipt);
     reply.give(Buffer.buffer("HD O" + request.id() + " c" + receipt + "\r\n"));
   }
 
   private void value(Request request, Reply reply, int version, boolean hit) {
     String value = "v" + version + ":" + request.key() + ":" + request.id() + ":" + name;
-    witness.made(name, request, value);
+    observer.made(name, request, value);
     String flag = figures.origin() == null ? "" : hit ? " h1" : " h0";
     reply.give(
         Buffer.buffer(
--- a/src/main/java/pathgw/standin/Clients.java
+++ b/src/main/java/pathgw/fake/FakeClients.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -11,39 +11,39 @@
 
 /**
  * The clients of all proxies and the front that deals out their connections: it goes on sending to
- * a dead proxy for some seconds. Accesses come at random times that wait for no answer.
+ * a dead proxy for some seconds. Requests come at random times that wait for no answer.
  */
-public final class Clients {
-  /** How far an access may be repeated. */
+public final class FakeClients {
+  /** How far a request may be repeated. */
   public enum Effect {
-    REISSUABLE,
-    NUMBERED,
+    IDEMPOTENT,
+    IDEMPOTENCY_KEYED,
     AT_MOST_ONCE
   }
 
   /**
-   * One class of accesses.
+   * One class of requests.
    *
-   * @param repeats whether clients try a numbered access again after any failure
-   * @param part of all accesses
+   * @param repeats whether clients try a idempotency-keyed request again after any failure
+   * @param part of all requests
    */
-  public record Offering(
+  public record RequestClass(
       String name,
       Effect effect,
       boolean repeats,
-      Duration outerLimit,
+      Duration deadline,
       Duration patience,
       double part) {}
 
   /** What clients do just now. */
   public static final class Habits {
-    /** Accesses a second. */
+    /** Requests a second. */
     public double rate;
 
     /** The share that asks for one single key. */
     public double hot;
 
-    /** How many times more the first customer asks than it did. */
+    /** How many times more the first tenant asks than it did. */
     public double greed = 1;
 
     /** The share that leaves before it has its answer. */
@@ -63,10 +63,10 @@
 
   private final Clock clock;
   private final Random chance;
-  private final Front front;
-  private final ClientWitness witness;
-  private final List<Offering> offerings;
-  private final List<String> customers;
+  private final ClientConnector front;
+  private final ClientObserver observer;
+  private final List<RequestClass> requestClasses;
+  private final List<String> tenants;
   private final double[] keys;
   private final Habits habits = new Habits();
   private final List<Deque<Connection>> kept = new ArrayList<>();
@@ -80,23 +80,23 @@
    * @param uneven how unlike the proxies' traffic is: exponent of Zipf's law, 0 for turn by turn
    * @param keys how many, asked for by Zipf's law with exponent {@code skew}
    */
-  public Clients(
+  public FakeClients(
       Clock clock,
       Random chance,
-      Front front,
-      ClientWitness witness,
+      ClientConnector front,
+      ClientObserver observer,
       int proxies,
       double uneven,
-      List<Offering> offerings,
-      List<String> customers,
+      List<RequestClass> requestClasses,
+      List<String> tenants,
       int keys,
       double skew) {
     this.clock = clock;
     this.chance = chance;
     this.front = front;
-    this.witness = witness;
-    this.offerings = offerings;
-    this.customers = customers;
+    this.observer = observer;
+    this.requestClasses = requestClasses;
+    this.tenants = tenants;
     this.keys = new double[keys];
     double sum = 0;
     for (int i = 0; i < keys; i++) {
@@ -153,15 +153,15 @@
           if (!stopped) {
             double part = chance.nextDouble();
             int o = 0;
-            while (o < offerings.size() - 1 && part >= offerings.get(o).part()) {
-              part -= offerings.get(o++).part();
+            while (o < requestClasses.size() - 1 && part >= requestClasses.get(o).part()) {
+              part -= requestClasses.get(o++).part();
             }
-            Offering offering = offerings.get(o);
-            double of = customers.size() - 1 + habits.greed;
+            RequestClass requestClass = requestClasses.get(o);
+            double of = tenants.size() - 1 + habits.greed;
             double whose = chance.nextDouble() * of - habits.greed;
-            int customer = whose < 0 ? 0 : Math.min(customers.size() - 1, 1 + (int) whose);
-            String mark = offering.effect == Effect.NUMBERED ? hex() : "";
-            attempt(offering, customer, key(), mark, clock.now(), 0);
+            int tenant = whose < 0 ? 0 : Math.min(tenants.size() - 1, 1 + (int) whose);
+            String mark = requestClass.effect == Effect.IDEMPOTENCY_KEYED ? hex() : "";
+            attempt(requestClass, tenant, key(), mark, clock.now(), 0);
             arrive();
           }
         });
@@ -213,84 +213,85 @@
   }
 
   private void attempt(
-      Offering offering, int customer, String key, String mark, Duration first, int tries) {
-    Duration left = first.plus(offering.outerLimit).minus(clock.now());
-    Duration wait = left.compareTo(offering.patience) < 0 ? left : offering.patience;
+      RequestClass requestClass, int tenant, String key, String mark, Duration first, int tries) {
+    Duration left = first.plus(requestClass.deadline).minus(clock.now());
+    Duration wait = left.compareTo(requestClass.patience) < 0 ? left : requestClass.patience;
     if (stopped || tries >= MOST_TRIES || wait.toMillis() < 20) {
       return;
     }
     int proxy = deal();
     Connection free = kept.get(proxy).pollLast();
     if (free != null) {
-      free.ask(offering, customer, key, mark, first, wait, tries);
+      free.ask(requestClass, tenant, key, mark, first, wait, tries);
       return;
     }
     front.open(
         proxy,
         side -> {
           Connection c = new Connection(side, proxy);
-          c.ask(offering, customer, key, mark, first, wait, tries);
+          c.ask(requestClass, tenant, key, mark, first, wait, tries);
           return c;
         },
         () -> {
           refused(proxy);
           clock.in(
               Duration.ofMillis(50 + chance.nextInt(200)),
-              () -> attempt(offering, customer, key, mark, first, tries + 1));
+              () -> attempt(requestClass, tenant, key, mark, first, tries + 1));
         });
   }
 
-  private void again(Ask ask, Duration pause) {
+  private void again(ClientAttempt ask, Duration pause) {
     clock.in(
         pause.plusMillis(1 + chance.nextInt(100)),
         () ->
             attempt(
-                ask.offering(),
-                ask.customer(),
+                ask.requestClass(),
+                ask.tenant(),
                 ask.key(),
                 ask.mark(),
                 ask.first(),
                 ask.tries() + 1));
   }
 
-  private boolean mayRepeat(Ask ask) {
-    return ask.offering().effect == Effect.REISSUABLE
-        || (ask.offering().effect == Effect.NUMBERED && ask.offering().repeats);
+  private boolean mayRepeat(ClientAttempt ask) {
+    return ask.requestClass().effect == Effect.IDEMPOTENT
+        || (ask.requestClass().effect == Effect.IDEMPOTENCY_KEYED && ask.requestClass().repeats);
   }
 
   /** One kept connection and the try that is out on it. */
-  private final class Connection implements Talk {
-    private final Side side;
+  private final class Connection implements ConnectionHandler {
+    private final ConnectionSide side;
     private final int proxy;
-    private final Cutter cutter = new Cutter(this::line);
-    private Ask out;
+    private final RecordCutter cutter = new RecordCutter(this::line);
+    private ClientAttempt out;
     private boolean over;
     private boolean used;
 
-    Connection(Side side, int proxy) {
+    Connection(ConnectionSide side, int proxy) {
       this.side = side;
       this.proxy = proxy;
     }
 
     void ask(
-        Offering offering,
-        int customer,
+        RequestClass requestClass,
+        int tenant,
         String key,
         String mark,
         Duration first,
         Duration wait,
         int tries) {
-      Ask ask =
-          new Ask(hex(), offering, customer, key, mark, first, clock.now(), wait, tries, !used);
+      ClientAttempt ask =
+          new ClientAttempt(
+              hex(), requestClass, tenant, key, mark, first, clock.now(), wait, tries, !used);
       used = true;
-      boolean write = offering.effect != Effect.REISSUABLE;
+      boolean write = requestClass.effect != Effect.IDEMPOTENT;
       String labels =
           " O"
               + ask.id()
               + " Pc="
-              + offering.name
+              + requestClass.name
               + ",t="
-              + customers.get(customer)
+              + tenants.get(tenant)
               + ",d="
               + wait.toMillis()
               + (mark.isEmpty() ? "" : ",k=" + mark)
@@ -301,14 +302,14 @@
               write
                   ? "ms " + key + " " + VALUE.length() + labels + "\r\n" + VALUE + "\r\n"
                   : "mg " + key + " v" + labels + "\r\n"));
-      witness.asked(ask, proxy);
+      observer.asked(ask, proxy);
       if (chance.nextDouble() < habits.leaves) {
         clock.in(
             Duration.ofNanos((long) (wait.toNanos() * chance.nextDouble())),
             () -> {
               if (ask.equals(out)) {
                 out = null;
-                witness.left(ask, proxy);
+                observer.left(ask, proxy);
                 side.close();
                 over = true;
               }
@@ -319,7 +320,7 @@
           () -> {
             if (ask.equals(out)) {
               out = null;
-              witness.neverAnswered(ask, proxy);
+              observer.neverAnswered(ask, proxy);
               side.close();
               over = true;
             }
@@ -343,13 +344,13 @@
     }
 
     private void answered(String answer) {
-      Ask ask = out;
+      ClientAttempt ask = out;
       out = null;
       if (ask == null) {
-        witness.answered(null, proxy, answer);
+        observer.answered(null, proxy, answer);
         return;
       }
-      witness.answered(ask, proxy, answer);
+      observer.answered(ask, proxy, answer);
       if (chance.nextDouble() < habits.stay) {
         over = true;
       } else if (!over
@@ -374,9 +375,9 @@
       over = true;
       kept.get(proxy).remove(this);
       if (out != null) {
-        Ask ask = out;
+        ClientAttempt ask = out;
         out = null;
-        witness.cutOff(ask, proxy, !side.unread());
+        observer.cutOff(ask, proxy, !side.unread());
         // A close that crossed it, or a proxy that died: clients ask once more.
         if (mayRepeat(ask)) {
           again(ask, Duration.ZERO);
@@ -400,21 +401,21 @@
   }
 
   /** A connection on which comes what is no command. */
-  private final class Rude implements Talk {
+  private final class Rude implements ConnectionHandler {
     private static final int FORMS = 12;
 
-    private final Side side;
+    private final ConnectionSide side;
     private final int proxy;
     private final Duration since = clock.now();
     private final int form = chance.nextInt(FORMS);
-    private final Cutter cutter = new Cutter(this::line);
+    private final RecordCutter cutter = new RecordCutter(this::line);
     private boolean over;
 
-    Rude(Side side, int proxy) {
+    Rude(ConnectionSide side, int proxy) {
       this.side = side;
       this.proxy = proxy;
       String id = hex();
-      String good = " O" + id + " Pc=" + offerings.get(0).name + ",d=400";
+      String good = " O" + id + " Pc=" + requestClasses.get(0).name + ",d=400";
       String sent =
           switch (form) {
             case 0 -> "";
@@ -423,8 +424,8 @@
             case 3 -> "ms k1 -5" + good + "\r\n";
             case 4 -> "ms k1 60000000" + good + "\r\n";
             case 5 -> "mg k1 v O" + id + " Pc=nothing,d=400\r\n";
-            case 6 -> "mg k1 v O" + id + " Pc=" + offerings.get(0).name + ",d=soon\r\n";
-            case 7 -> "mg k1 v Pc=" + offerings.get(0).name + ",d=400\r\n";
+            case 6 -> "mg k1 v O" + id + " Pc=" + requestClasses.get(0).name + ",d=soon\r\n";
+            case 7 -> "mg k1 v Pc=" + requestClasses.get(0).name + ",d=400\r\n";
             case 8 -> "ms k1 5" + good + "\r\nhe";
             case 9 -> "mn2\r\n".repeat(300);
             case 10 -> "ms k1 5" + good + "\r\nhello, and more than said\r\n";
@@ -453,7 +454,7 @@
     private void tell(Duration took, String answer) {
       if (!over) {
         over = true;
-        witness.rude(proxy, "form " + form, took, answer);
+        observer.rude(proxy, "form " + form, took, answer);
         side.close();
       }
     }
--- a/src/main/java/pathgw/standin/NodeList.java
+++ b/src/main/java/pathgw/fake/FakeDiscovery.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -11,10 +11,10 @@
 import java.util.Set;
 
 /**
- * The node list: whole lists and watches over HTTP, in turn for all proxies; late, down or refusing
- * at times.
+ * The endpoint list: whole lists and watches over HTTP, in turn for all proxies; late, down or
+ * refusing at times.
  */
-public final class NodeList {
+public final class FakeDiscovery {
   /**
    * One line of the list.
    *
@@ -57,7 +57,7 @@
 
   private final Clock clock;
   private final Random chance;
-  private final Witness witness;
+  private final BackendObserver observer;
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final List<Change> changes = new ArrayList<>();
   private final Set<Conversation> talks = new LinkedHashSet<>();
@@ -69,10 +69,10 @@
   private double calls;
   private Duration busyUntil = Duration.ZERO;
 
-  public NodeList(Clock clock, Random chance, Witness witness) {
+  public FakeDiscovery(Clock clock, Random chance, BackendObserver observer) {
     this.clock = clock;
     this.chance = chance;
-    this.witness = witness;
+    this.observer = observer;
   }
 
   public void change(Entry entry) {
@@ -194,20 +194,20 @@
    *
    * @return what it makes of the connection, or null while it is down
    */
-  public Talk accept(String from, Side side) {
+  public ConnectionHandler accept(String from, ConnectionSide side) {
     return down ? null : new Conversation(from, side);
   }
 
-  private final class Conversation implements Talk {
+  private final class Conversation implements ConnectionHandler {
     private final String from;
-    private final Side side;
-    private final Cutter cutter = new Cutter(this::line);
+    private final ConnectionSide side;
+    private final RecordCutter cutter = new RecordCutter(this::line);
     private String path;
     private long has = -1;
     private boolean follows;
     private boolean silent;
 
-    private Conversation(String from, Side side) {
+    private Conversation(String from, ConnectionSide side) {
       this.from = from;
       this.side = side;
       talks.add(this);
@@ -303,14 +303,14 @@
         missed.forEach(
             c -> text.append(c.equals(missed.get(0)) ? "" : ",").append(c.entry().json()));
         chunk(text.append("]}\n").toString());
-        missed.forEach(c -> witness.told(from, c.entry().host(), c.entry().health(), upTo));
+        missed.forEach(c -> observer.told(from, c.entry().host(), c.entry().health(), upTo));
         has = upTo;
       }
     }
 
     private void tellWhole() {
-      entries.values().forEach(e -> witness.told(from, e.host(), e.health(), seq));
-      witness.told(from, "", "", seq);
+      entries.values().forEach(e -> observer.told(from, e.host(), e.health(), seq));
+      observer.told(from, "", "", seq);
     }
 
     private void chunk(String text) {
--- a/src/main/java/pathgw/standin/Origin.java
+++ b/src/main/java/pathgw/fake/FakeOrigin.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -9,16 +9,16 @@
 import java.util.function.IntConsumer;
 
 /**
- * The origin: has every key, takes far less than all accesses, and goes down for a while when
+ * The origin: has every key, takes far less than all requests, and goes down for a while when
  * overdriven.
  */
-public final class Origin extends Place {
+public final class FakeOrigin extends FakeServer {
   /**
    * What it bears.
    *
    * @param fallMultiple over this many times its capacity for {@code fallFor} it goes down; 0 for
    *     never
-   * @param memory of marked accesses
+   * @param memory of marked requests
    */
   public record Figures(
       int slots,
@@ -42,35 +42,35 @@
 
   private final Figures figures;
   private final Copies nodes;
-  private final Memory memory;
-  private final Workers workers;
-  private final Pressure pressure;
+  private final DedupMemory memory;
+  private final WorkerQueue workers;
+  private final OverloadWindow pressure;
   private final Map<String, Integer> versions = new TreeMap<>();
   private Duration downUntil = Duration.ZERO;
   private long receipts;
   private long fetches;
 
-  public Origin(
+  public FakeOrigin(
       String name,
       Clock clock,
       Random chance,
-      Witness witness,
-      Mischief mischief,
+      BackendObserver observer,
+      FaultInjection faults,
       Figures figures,
       Copies nodes) {
-    super(name, clock, chance, witness, mischief, figures.connections(), figures.idle());
+    super(name, clock, chance, observer, faults, figures.connections(), figures.idle());
     this.figures = figures;
     this.nodes = nodes;
-    memory = new Memory(figures.memory());
+    memory = new DedupMemory(figures.memory());
     workers =
-        new Workers(
+        new WorkerQueue(
             clock,
             chance,
             figures.slots(),
             figures.service(),
             figures.queue(),
-            () -> mischief.slower);
-    pressure = new Pressure(figures.fallFor(), 3, 4);
+            () -> faults.slower);
+    pressure = new OverloadWindow(figures.fallFor(), 3, 4);
   }
 
   public long fetches() {
@@ -90,7 +90,7 @@
     pressure.arrived(clock.now(), from, request.id());
     double capacity = figures.slots() * 1e9 / figures.service().toNanos();
     if (figures.fallMultiple() > 0 && !down() && pressure.over(figures.fallMultiple() * capacity)) {
-      witness.collapsed(pressure.work());
+      observer.collapsed(pressure.work());
       downUntil = clock.now().plus(figures.downFor());
     }
   }
@@ -129,8 +129,8 @@
   }
 
   @Override
-  Requests reader(Conversation talk) {
-    return Requests.http(talk::take, talk::unreadable);
+  RequestReader reader(Conversation talk) {
+    return RequestReader.http(talk::take, talk::unreadable);
   }
 
   @Override
@@ -152,13 +152,13 @@
         request.write()
             && !mark.isEmpty()
             && memory.repeats(mark, clock.now(), receipt -> receipt(request, reply, receipt));
-    witness.ran(name, request, again);
+    observer.ran(name, request, again);
     if (again) {
       return;
     }
     workers.work(
         () -> {
-          if (mischief.fails > 0 && chance.nextDouble() < mischief.fails) {
+          if (faults.fails > 0 && chance.nextDouble() < faults.fails) {
             reply.give(failed(request));
           } else if (request.write()) {
             String receipt = written(request);
@@ -168,7 +168,7 @@
             int version = version(request.key());
             nodes.fetched(request, version);
             String value = "v" + version + ":" + request.key() + ":" + request.id() + ":" + name;
-            witness.made(name, request, value);
+            observer.made(name, request, value);
             answer(request, reply, value);
           }
         });
@@ -185,7 +185,7 @@
   }
 
   private void receipt(Request request, Reply reply, String receipt) {
-    witness.made(name, request, receipt);
+    observer.made(name, request, receipt);
     answer(request, reply, receipt);
   }
 
--- a/src/main/java/pathgw/standin/Place.java
+++ b/src/main/java/pathgw/fake/FakeServer.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -9,35 +9,35 @@
  * What a cache node and the origin share: connections with answers in their order, workers,
  * mischief.
  */
-abstract class Place {
+abstract class FakeServer {
   final String name;
   final Clock clock;
   final Random chance;
-  final Witness witness;
-  final Mischief mischief;
+  final BackendObserver observer;
+  final FaultInjection faults;
   private final int mostConnections;
   private final Duration idle;
   private int connections;
 
-  Place(
+  FakeServer(
       String name,
       Clock clock,
       Random chance,
-      Witness witness,
-      Mischief mischief,
+      BackendObserver observer,
+      FaultInjection faults,
       int mostConnections,
       Duration idle) {
     this.name = name;
     this.clock = clock;
     this.chance = chance;
-    this.witness = witness;
-    this.mischief = mischief;
+    this.observer = observer;
+    this.faults = faults;
     this.mostConnections = mostConnections;
     this.idle = idle;
   }
 
-  /** What an access is owed on its connection; given once. */
-  static final class Reply {
+  /** What a request is owed on its connection; given once. */
+  public static final class Reply {
     private final Conversation on;
     private Buffer answer;
     private boolean ready;
@@ -50,7 +50,7 @@
     /**
      * Gives the answer.
      *
-     * @param answer the whole answer; null leaves the access without one
+     * @param answer the whole answer; null leaves the request without one
      */
     void give(Buffer answer) {
       this.answer = answer;
@@ -74,7 +74,7 @@
    *
    * @return what it makes of the connection, or null where it takes no more
    */
-  public final Talk accept(String from, Side side) {
+  public final ConnectionHandler accept(String from, ConnectionSide side) {
     return connections >= mostConnections ? null : new Conversation(from, side);
   }
 
@@ -82,7 +82,7 @@
     return connections;
   }
 
-  abstract Requests reader(Conversation talk);
+  abstract RequestReader reader(Conversation talk);
 
   abstract void serve(Request request, Reply reply);
 
@@ -101,20 +101,20 @@
   }
 
   final void turnAway(Request request, Reply reply) {
-    witness.turnedAway(name, request);
+    observer.turnedAway(name, request);
     reply.give(turnedAway(request));
   }
 
   /** One connection and the answers that are owed on it, in order. */
-  final class Conversation implements Talk {
+  final class Conversation implements ConnectionHandler {
     private final String from;
-    private final Side side;
-    private final Requests requests = reader(this);
+    private final ConnectionSide side;
+    private final RequestReader requests = reader(this);
     private final ArrayDeque<Reply> owed = new ArrayDeque<>();
     private Duration usedAt = clock.now();
     private boolean over;
 
-    private Conversation(String from, Side side) {
+    private Conversation(String from, ConnectionSide side) {
       this.from = from;
       this.side = side;
       connections++;
@@ -147,13 +147,13 @@
 
     void take(Request request) {
       usedAt = clock.now();
-      if (happens(mischief.closes)) {
-        witness.turnedAway(name, request);
+      if (happens(faults.closes)) {
+        observer.turnedAway(name, request);
         side.close();
         over();
         return;
       }
-      boolean resets = happens(mischief.resets);
+      boolean resets = happens(faults.resets);
       if (resets && chance.nextBoolean()) {
         side.reset();
         over();
@@ -161,7 +161,7 @@
       }
       Reply reply = new Reply(this);
       owed.add(reply);
-      if (refuses() || happens(mischief.busy)) {
+      if (refuses() || happens(faults.busy)) {
         turnAway(request, reply);
       } else {
         serve(request, reply);
@@ -187,9 +187,9 @@
         usedAt = clock.now();
         if (reply.last) {
           end(answer);
-        } else if (happens(mischief.spoils)) {
+        } else if (happens(faults.spoils)) {
           side.write(spoilt(answer, chance.nextInt(6)));
-        } else if (happens(mischief.extra) && owed.isEmpty()) {
+        } else if (happens(faults.extra) && owed.isEmpty()) {
           side.write(
               answer
                   .copy()
@@ -201,7 +201,7 @@
     }
 
     private void end(Buffer answer) {
-      if (happens(mischief.resets)) {
+      if (happens(faults.resets)) {
         side.write(answer.slice(0, answer.length() - 3));
         clock.in(Duration.ofMillis(5), side::reset);
       } else {
--- a/src/main/java/pathgw/standin/Mischief.java
+++ b/src/main/java/pathgw/fake/FaultInjection.java
@@ -1,10 +1,10 @@
-package pathgw.standin;
+package pathgw.fake;
 
 /**
  * What goes wrong at a node or the origin just now; each figure but the first is a chance for each
- * access.
+ * request.
  */
-public final class Mischief {
+public final class FaultInjection {
   /** How many times longer work takes. */
   public double slower = 1;
 
--- a/src/main/java/pathgw/standin/Pressure.java
+++ b/src/main/java/pathgw/fake/OverloadWindow.java
@@ -1,20 +1,20 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.List;
 
 /** The work that arrived within a window, against what the place bears. */
-final class Pressure {
+final class OverloadWindow {
   private final Duration window;
   private final double roots;
   private final double more;
-  private final ArrayDeque<Witness.Arrival> work = new ArrayDeque<>();
+  private final ArrayDeque<BackendObserver.Arrival> work = new ArrayDeque<>();
 
   /**
    * @param roots of what is borne, and {@code more}: what is put down to chance
    */
-  Pressure(Duration window, double roots, double more) {
+  OverloadWindow(Duration window, double roots, double more) {
     this.window = window;
     this.roots = roots;
     this.more = more;
@@ -25,7 +25,7 @@
     while (!work.isEmpty() && work.peek().atNanos() < since) {
       work.poll();
     }
-    work.add(new Witness.Arrival(now.toNanos(), from, id));
+    work.add(new BackendObserver.Arrival(now.toNanos(), from, id));
   }
 
   /** Whether it is over what is borne in the window, with some slack for chance. */
@@ -39,7 +39,7 @@
     return work.size() / (borne + roots * Math.sqrt(borne) + more);
   }
 
-  List<Witness.Arrival> work() {
+  List<BackendObserver.Arrival> work() {
     return List.copyOf(work);
   }
 }
--- a/src/main/java/pathgw/standin/Cutter.java
+++ b/src/main/java/pathgw/fake/RecordCutter.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 import java.util.Arrays;
@@ -6,7 +6,7 @@
 /**
  * Cuts what comes on a connection into lines that end with CRLF or LF, and pieces of a known size.
  */
-final class Cutter {
+final class RecordCutter {
   /** Hears one record as a part of a buffer. */
   interface Taker {
     void take(byte[] bytes, int from, int to);
@@ -20,7 +20,7 @@
   private int to;
   private int seen;
 
-  Cutter(Taker line) {
+  RecordCutter(Taker line) {
     this.line = line;
   }
 
--- a/src/main/java/pathgw/standin/Request.java
+++ b/src/main/java/pathgw/fake/Request.java
@@ -1,9 +1,9 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import java.nio.charset.StandardCharsets;
 
 /**
- * One access as it came to a node or the origin.
+ * One request as it came to a node or the origin.
  *
  * @param labels the list of names and values as it came, for example {@code c=read,t=one,d=480}
  */
--- a/src/main/java/pathgw/standin/Requests.java
+++ b/src/main/java/pathgw/fake/RequestReader.java
@@ -1,11 +1,11 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
 import java.util.function.Consumer;
 
 /** Reads what a proxy sends: meta commands for a cache node, HTTP for the origin. */
-public final class Requests {
-  private final Cutter cutter;
+public final class RequestReader {
+  private final RecordCutter cutter;
   private final Consumer<Request> whole;
   private final Runnable unreadable;
   private boolean put;
@@ -14,18 +14,18 @@
   private String labels;
   private int length;
 
-  private Requests(boolean http, Consumer<Request> whole, Runnable unreadable) {
-    cutter = new Cutter(http ? this::httpLine : this::metaLine);
+  private RequestReader(boolean http, Consumer<Request> whole, Runnable unreadable) {
+    cutter = new RecordCutter(http ? this::httpLine : this::metaLine);
     this.whole = whole;
     this.unreadable = unreadable;
   }
 
-  public static Requests meta(Consumer<Request> whole, Runnable unreadable) {
-    return new Requests(false, whole, unreadable);
+  public static RequestReader meta(Consumer<Request> whole, Runnable unreadable) {
+    return new RequestReader(false, whole, unreadable);
   }
 
-  public static Requests http(Consumer<Request> whole, Runnable unreadable) {
-    return new Requests(true, whole, unreadable);
+  public static RequestReader http(Consumer<Request> whole, Runnable unreadable) {
+    return new RequestReader(true, whole, unreadable);
   }
 
   public void take(Buffer bytes) {
--- a/src/main/java/pathgw/standin/Workers.java
+++ b/src/main/java/pathgw/fake/WorkerQueue.java
@@ -1,4 +1,4 @@
-package pathgw.standin;
+package pathgw.fake;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -6,7 +6,7 @@
 import java.util.function.DoubleSupplier;
 
 /** What works at a place: so many at a time, and a bounded queue before them. */
-final class Workers {
+final class WorkerQueue {
   private final Clock clock;
   private final Random chance;
   private final int slots;
@@ -19,7 +19,7 @@
   /**
    * @param slower how many times longer work takes just now
    */
-  Workers(
+  WorkerQueue(
       Clock clock,
       Random chance,
       int slots,
--- a/src/main/java/pathgw/simulation/Events.java
+++ b/src/main/java/pathgw/simulation/EventQueue.java
@@ -5,7 +5,7 @@
 /**
  * All that is still to happen in one run, by time and then by the order in which it was asked for.
  */
-final class Events {
+final class EventQueue {
   /** Something to happen to a process, or to the world where {@code owner} is null. */
   static final class Event implements Comparable<Event> {
     private final long at;
--- a/src/main/java/pathgw/simulation/Fault.java
+++ b/src/main/java/pathgw/simulation/Fault.java
@@ -48,9 +48,9 @@
     SPOILS(On.NODE, true),
     /** Answers with more behind them. */
     BABBLES(On.NODE, true),
-    /** Errors after the access ran. */
+    /** Errors after the request ran. */
     FAILS(On.NODE, true),
-    /** Accesses turned away. */
+    /** Requests turned away. */
     BUSY(On.NODE, true),
     /** A new cold node. */
     GROWS(On.WORLD, false),
@@ -78,11 +78,11 @@
     STANDS_STILL(On.PROXY, false),
     /** SIGHUP to all proxies: the list is elsewhere. */
     HANGUP(On.WORLD, false),
-    /** So many times as many accesses. */
+    /** So many times as many requests. */
     BURST(On.WORLD, true),
     /** So great a share for one key. */
     HOT(On.WORLD, true),
-    /** One customer asks so many times as much. */
+    /** One tenant asks so many times as much. */
     GREED(On.WORLD, true),
     /** So great a share of the clients leaves before the answer. */
     LEAVE(On.WORLD, true),
--- a/src/main/java/pathgw/simulation/ForwardingWitness.java
+++ b/src/main/java/pathgw/simulation/ForwardingObserver.java
@@ -1,14 +1,14 @@
 package pathgw.simulation;
 
 import java.util.List;
-import pathgw.standin.Request;
-import pathgw.standin.Witness;
+import pathgw.fake.BackendObserver;
+import pathgw.fake.Request;
 
 /** Passes on what it hears. */
-class ForwardingWitness implements Witness {
-  private final Witness to;
+class ForwardingObserver implements BackendObserver {
+  private final BackendObserver to;
 
-  ForwardingWitness(Witness to) {
+  ForwardingObserver(BackendObserver to) {
     this.to = to;
   }
 
--- a/src/main/java/pathgw/simulation/Referee.java
+++ b/src/main/java/pathgw/simulation/InvariantChecker.java
@@ -7,22 +7,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import pathgw.net.Proxy;
-import pathgw.net.Watcher;
-import pathgw.standin.Ask;
-import pathgw.standin.ClientWitness;
-import pathgw.standin.Clients.Effect;
-import pathgw.standin.Request;
-import pathgw.standin.Witness;
+import pathgw.fake.BackendObserver;
+import pathgw.fake.ClientAttempt;
+import pathgw.fake.ClientObserver;
+import pathgw.fake.FakeClients.Effect;
+import pathgw.fake.Request;
+import pathgw.observability.RequestObserver;
+import pathgw.server.ProxyServer;
 
 /**
  * Sees all of one run and says which rule was broken first. What a proxy may know counts, not what
- * is true: an access whose last byte was written may have run, unless a node said that it did not.
+ * is true: a request whose last byte was written may have run, unless a node said that it did not.
  */
-final class Referee implements Witness, ClientWitness {
+final class InvariantChecker implements BackendObserver, ClientObserver {
   /** What the rules say, as the settings of the run have it; spans in nanoseconds. */
   record Figures(
-      long answerSlack, long drainGrace, int maxHandOffs, String group, long memory, int sockets) {}
+      long answerSlack, long drainGrace, int maxAttempts, String group, long memory, int sockets) {}
 
   /** What the referee asks of the world. */
   interface World {
@@ -67,20 +67,20 @@
   /** Marks what is no sum. */
   static final String MOST = ", most";
 
-  private static final class HandOff {
+  private static final class Attempt {
     final String place;
     final long last;
     boolean neverRan;
 
-    HandOff(String place, long last) {
+    public Attempt(String place, long last) {
       this.place = place;
       this.last = last;
     }
   }
 
-  private static final class Course {
-    final Ask ask;
-    final List<HandOff> handOffs = new ArrayList<>(2);
+  private static final class RequestActions {
+    final ClientAttempt ask;
+    final List<Attempt> attempts = new ArrayList<>(2);
     final List<String> made = new ArrayList<>(2);
 
     /** Far off, yet spans can be added to it. */
@@ -91,27 +91,27 @@
     boolean coldMiss;
     boolean left;
 
-    Course(Ask ask) {
+    RequestActions(ClientAttempt ask) {
       this.ask = ask;
     }
   }
 
-  private record Told(String health, long version, long since) {}
+  private record Notified(String health, long version, long since) {}
 
-  private final Events events;
+  private final EventQueue events;
   private final Trace trace;
   private final World world;
   private final Figures figures;
-  private final Map<String, Course> courses = new HashMap<>();
-  private final List<Map<String, Told>> told = new ArrayList<>();
+  private final Map<String, RequestActions> courses = new HashMap<>();
+  private final List<Map<String, Notified>> told = new ArrayList<>();
   private final Map<String, Long> counts = new TreeMap<>();
   private final Map<String, long[]> seconds = new TreeMap<>();
   private long asked;
   private long served;
   private long countFrom = Long.MAX_VALUE;
-  private Breach breach;
+  private Violation breach;
 
-  Referee(Events events, Trace trace, World world, Figures figures, int proxies) {
+  InvariantChecker(EventQueue events, Trace trace, World world, Figures figures, int proxies) {
     this.events = events;
     this.trace = trace;
     this.world = world;
@@ -121,7 +121,7 @@
     }
   }
 
-  Breach breach() {
+  Violation breach() {
     return breach;
   }
 
@@ -158,7 +158,7 @@
     countFrom = events.now();
   }
 
-  /** The share of first tries that were delivered since then; 1 where none was asked. */
+  /** The share of first tries that were served since then; 1 where none was asked. */
   double service() {
     return asked == 0 ? 1 : (double) served / asked;
   }
@@ -166,7 +166,7 @@
   void broken(int rule, String kind, String text) {
     trace.say(events.now(), () -> "BROKEN rule " + rule + ", " + kind + ": " + text);
     if (breach == null) {
-      breach = new Breach(rule, kind, events.now(), text);
+      breach = new Violation(rule, kind, events.now(), text);
     }
   }
 
@@ -175,39 +175,39 @@
     trace.say(events.now(), text);
   }
 
-  // The node list.
+  // The endpoint list.
 
   /** A proxy's process begins; it knows what its configuration says. */
   void begins(int proxy, Map<String, String> known, long version) {
-    Map<String, Told> now = told.get(proxy);
+    Map<String, Notified> now = told.get(proxy);
     now.clear();
-    known.forEach((host, health) -> now.put(host, new Told(health, version, events.now())));
+    known.forEach((host, health) -> now.put(host, new Notified(health, version, events.now())));
   }
 
   @Override
   public void told(String proxy, String host, String health, long version) {
-    Map<String, Told> now = told.get(number(proxy));
+    Map<String, Notified> now = told.get(number(proxy));
     if (host.isEmpty()) {
       now.replaceAll(
           (h, t) ->
               t.version < version && !t.health.equals("gone")
-                  ? new Told("gone", version, events.now())
+                  ? new Notified("gone", version, events.now())
                   : t);
       return;
     }
-    Told before = now.get(host);
+    Notified before = now.get(host);
     if (before == null || before.version <= version) {
       boolean same = before != null && before.health.equals(health);
-      now.put(host, new Told(health, version, same ? before.since : events.now()));
+      now.put(host, new Notified(health, version, same ? before.since : events.now()));
       note(version, () -> proxy + " is told that " + host + " is " + health + ", list " + version);
     }
   }
 
   /** What the list has to tell counts as told after a while, unless it could not be asked. */
   void countsAsTold(int proxy, String host, String health, long version) {
-    Told before = told.get(proxy).get(host);
+    Notified before = told.get(proxy).get(host);
     if (before != null && before.version < version && before.health.equals("ready")) {
-      told.get(proxy).put(host, new Told(health, version, events.now()));
+      told.get(proxy).put(host, new Notified(health, version, events.now()));
     }
   }
 
@@ -217,21 +217,21 @@
 
   // Proxies.
 
-  Watcher watcher(int proxy) {
-    return new Watcher() {
+  RequestObserver observer(int proxy) {
+    return new RequestObserver() {
       @Override
-      public void gaveUp(String access) {
-        Course c = courses.get(access);
+      public void decided(String request) {
+        RequestActions c = courses.get(request);
         if (c != null && c.gaveUpAt < 0) {
           c.gaveUpAt = events.now();
         }
-        trace.say(events.now(), () -> "p" + proxy + " gives up " + access);
+        trace.say(events.now(), () -> "p" + proxy + " gives up " + request);
       }
 
       @Override
-      public void ended(String access, String end) {
+      public void ended(String request, String end) {
         count("end " + end);
-        trace.say(events.now(), () -> "p" + proxy + " hand-off of " + access + " ends " + end);
+        trace.say(events.now(), () -> "p" + proxy + " hand-off of " + request + " ends " + end);
       }
     };
   }
@@ -244,11 +244,11 @@
         place.equals("origin")
             ? "fetches and writes at the origin"
             : world.cold(place) ? "hand-offs to cold nodes" : "hand-offs to warm nodes");
-    Course c = courses.get(request.id());
+    RequestActions c = courses.get(request.id());
     if (c == null) {
       return;
     }
-    Told standing = told.get(proxy).get(place);
+    Notified standing = told.get(proxy).get(place);
     if (standing != null && !standing.health.equals("ready")) {
       counts.merge(
           "rule 3, ms after it was told of leaving that a node got something new" + MOST,
@@ -272,14 +272,14 @@
               + " ms after it was told that it is "
               + standing.health);
     }
-    for (HandOff h : c.handOffs) {
-      if (!h.neverRan && !mayFollow(c.ask.offering().effect(), h, place, first)) {
+    for (Attempt h : c.attempts) {
+      if (!h.neverRan && !mayFollow(c.ask.requestClass().effect(), h, place, first)) {
         broken(
             2,
             "resend",
             request.id()
                 + ", "
-                + c.ask.offering().effect()
+                + c.ask.requestClass().effect()
                 + ", goes to "
                 + place
                 + " though "
@@ -322,18 +322,18 @@
               + left / 1_000_000
               + " ms more");
     }
-    if (c.handOffs.size() >= figures.maxHandOffs) {
+    if (c.attempts.size() >= figures.maxAttempts) {
       broken(
-          1, "many", request.id() + " is handed off more than " + figures.maxHandOffs + " times");
+          1, "many", request.id() + " is handed off more than " + figures.maxAttempts + " times");
     }
-    c.handOffs.add(new HandOff(place, now));
+    c.attempts.add(new Attempt(place, now));
   }
 
-  private boolean mayFollow(Effect effect, HandOff earlier, String place, long at) {
+  private boolean mayFollow(Effect effect, Attempt earlier, String place, long at) {
     return switch (effect) {
-      case REISSUABLE -> true;
+      case IDEMPOTENT -> true;
       case AT_MOST_ONCE -> false;
-      case NUMBERED ->
+      case IDEMPOTENCY_KEYED ->
           at <= earlier.last + figures.memory
               && switch (figures.group) {
                 case "all" -> true;
@@ -344,10 +344,10 @@
   }
 
   /** After every step of a proxy. */
-  void bounds(int proxy, Proxy.Held held) {
+  void bounds(int proxy, ProxyServer.Held held) {
     if (held.clients() > held.mostClients()
         || held.toNodes() > held.mostToNodes()
-        || held.accesses() > held.mostClients() * 16) {
+        || held.requests() > held.mostClients() * 16) {
       broken(5, "bounds", "p" + proxy + " holds " + held);
     }
     if (held.clients() + held.toNodes() + OTHER_DESCRIPTORS > figures.sockets()) {
@@ -359,8 +359,8 @@
   }
 
   /** At the very end, when nobody asks any more. */
-  void empty(int proxy, Proxy.Held held) {
-    if (held.accesses() > 0 || held.clients() > 0 || held.toNodes() > 0) {
+  void empty(int proxy, ProxyServer.Held held) {
+    if (held.requests() > 0 || held.clients() > 0 || held.toNodes() > 0) {
       broken(5, "leak", "p" + proxy + " still holds " + held);
     }
   }
@@ -369,7 +369,7 @@
    * Once the troubles are over, service comes back; where nodes are gone for good it may not.
    *
    * @param room how many times the steady load is borne by what is left
-   * @param calmMs for how long there had been no trouble when the last access came
+   * @param calmMs for how long there had been no trouble when the last request came
    */
   void cameBack(double room, long calmMs) {
     if (room >= ROOM_TO_COME_BACK && calmMs >= COMES_BACK_WITHIN_MS && service() < SERVICE) {
@@ -393,13 +393,13 @@
 
   @Override
   public void ran(String place, Request request, boolean again) {
-    Course c = courses.get(request.id());
+    RequestActions c = courses.get(request.id());
     if (c == null || !request.write() || again || ++c.effects == 1) {
       return;
     }
     // A node that stood still may run what it had after the group's memory of a lawful repeat has
     // ended.
-    if (c.ask.offering().effect() == Effect.NUMBERED) {
+    if (c.ask.requestClass().effect() == Effect.IDEMPOTENCY_KEYED) {
       count("numbered access ran twice, each hand-off lawful");
     } else {
       broken(2, "twice", request.id() + " took effect again at " + place);
@@ -414,16 +414,16 @@
   @Override
   public void missed(String place, Request request, boolean cold) {
     neverRan(place, request);
-    Course c = courses.get(request.id());
+    RequestActions c = courses.get(request.id());
     if (c != null) {
       c.coldMiss |= cold;
     }
   }
 
   private void neverRan(String place, Request request) {
-    Course c = courses.get(request.id());
+    RequestActions c = courses.get(request.id());
     if (c != null) {
-      c.handOffs.stream()
+      c.attempts.stream()
           .filter(h -> h.place.equals(place) && !h.neverRan)
           .findFirst()
           .ifPresent(h -> h.neverRan = true);
@@ -432,7 +432,7 @@
 
   @Override
   public void made(String place, Request request, String answer) {
-    Course c = courses.get(request.id());
+    RequestActions c = courses.get(request.id());
     if (c != null) {
       c.made.add(answer);
     }
@@ -484,14 +484,14 @@
   // Clients.
 
   @Override
-  public void asked(Ask ask, int proxy) {
+  public void asked(ClientAttempt ask, int proxy) {
     note(
         ask.id().hashCode(),
         () ->
             "client asks p"
                 + proxy
                 + " for "
-                + ask.offering().name()
+                + ask.requestClass().name()
                 + " "
                 + ask.key()
                 + ", "
@@ -500,13 +500,13 @@
                 + ask.patience().toMillis()
                 + " ms"
                 + (ask.tries() > 0 ? ", again" : ""));
-    courses.put(ask.id(), new Course(ask));
+    courses.put(ask.id(), new RequestActions(ask));
     count("asked");
     asked += ask.tries() == 0 && events.now() >= countFrom ? 1 : 0;
   }
 
   @Override
-  public void answered(Ask ask, int proxy, String answer) {
+  public void answered(ClientAttempt ask, int proxy, String answer) {
     long now = events.now();
     note(
         answer.hashCode(),
@@ -517,7 +517,7 @@
                 + (ask == null ? "nobody" : ask.id())
                 + ": "
                 + answer.substring(0, Math.min(60, answer.length())));
-    Course c = ask == null ? null : courses.get(ask.id());
+    RequestActions c = ask == null ? null : courses.get(ask.id());
     if (c == null) {
       broken(1, "two-answers", "p" + proxy + " gives an answer that nobody asked for: " + answer);
       return;
@@ -547,18 +547,18 @@
           "held-back",
           ask.id() + " was given up " + (now - c.gaveUpAt) / 1_000_000 + " ms before it was told");
     }
-    boolean mayHaveRun = c.handOffs.stream().anyMatch(h -> !h.neverRan);
-    Effect effect = ask.offering().effect();
+    boolean mayHaveRun = c.attempts.stream().anyMatch(h -> !h.neverRan);
+    Effect effect = ask.requestClass().effect();
     if (answer.startsWith("SERVER_ERROR busy")
         && mayHaveRun
-        && effect != Effect.REISSUABLE
-        && !(effect == Effect.NUMBERED && figures.group.equals("all"))) {
+        && effect != Effect.IDEMPOTENT
+        && !(effect == Effect.IDEMPOTENCY_KEYED && figures.group.equals("all"))) {
       broken(2, "denied", ask.id() + ", " + effect + ", is denied though it may have run");
     }
   }
 
   @Override
-  public void left(Ask ask, int proxy) {
+  public void left(ClientAttempt ask, int proxy) {
     note(2, () -> "client of " + ask.id() + " leaves");
     courses.get(ask.id()).overAt = events.now();
     courses.get(ask.id()).left = true;
@@ -566,14 +566,14 @@
   }
 
   @Override
-  public void cutOff(Ask ask, int proxy, boolean taken) {
+  public void cutOff(ClientAttempt ask, int proxy, boolean taken) {
     note(3, () -> "connection of " + ask.id() + " ends, command " + (taken ? "taken" : "not read"));
-    Course c = courses.get(ask.id());
+    RequestActions c = courses.get(ask.id());
     c.overAt = events.now();
     boolean died = world.dead(proxy) || world.bornAt(proxy) > ask.at().toNanos();
     // A close that crosses a command is no loss; one long after the command had come is.
     boolean crossed = !taken && events.now() - ask.at().toNanos() < ON_THE_WAY;
-    boolean unserved = c.handOffs.isEmpty() && ask.firstOnConnection();
+    boolean unserved = c.attempts.isEmpty() && ask.firstOnConnection();
     count(
         died
             ? "died with its proxy"
@@ -587,9 +587,9 @@
   }
 
   @Override
-  public void neverAnswered(Ask ask, int proxy) {
+  public void neverAnswered(ClientAttempt ask, int proxy) {
     note(4, () -> ask.id() + " is never answered");
-    Course c = courses.get(ask.id());
+    RequestActions c = courses.get(ask.id());
     c.overAt = events.now();
     boolean still = world.stoodUntil(proxy) + ON_THE_WAY > ask.due().toNanos();
     if (!world.dead(proxy) && world.bornAt(proxy) <= ask.at().toNanos() && !still) {
--- a/src/main/java/pathgw/simulation/Tamper.java
+++ b/src/main/java/pathgw/simulation/Mutation.java
@@ -1,12 +1,12 @@
 package pathgw.simulation;
 
-import pathgw.net.Outside;
+import pathgw.transport.Transport;
 
 /** Comes between a proxy and its world, so that a test can plant a breach and see it found. */
-interface Tamper {
-  Tamper NONE = new Tamper() {};
+interface Mutation {
+  Mutation NONE = new Mutation() {};
 
-  default Outside outside(Outside honest, int proxy) {
+  default Transport transport(Transport honest, int proxy) {
     return honest;
   }
 
--- a/src/main/java/pathgw/simulation/Outcome.java
+++ b/src/main/java/pathgw/simulation/RunResult.java
@@ -7,12 +7,12 @@
  *
  * @param breach the first rule that was broken, or null
  * @param steps things that happened
- * @param service the share of first tries that were delivered in the last three seconds
+ * @param service the share of first tries that were served in the last three seconds
  * @param counts how often each trouble, end and answer came
  */
-record Outcome(
-    Script script,
-    Breach breach,
+record RunResult(
+    Scenario scenario,
+    Violation breach,
     long digest,
     long steps,
     long virtualMs,
--- a/src/main/java/pathgw/simulation/Script.java
+++ b/src/main/java/pathgw/simulation/Scenario.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import pathgw.config.BadInput;
+import pathgw.config.InvalidInputException;
 
 /**
  * All that decides a run: its shape and its troubles. As text it is one thing a line; what a line
@@ -13,10 +13,10 @@
  * @param through whether nodes fetch what they lack
  * @param group which nodes drop repeats: {@code all}, {@code zone} or {@code cell}
  * @param memoryMs for how long they do
- * @param rate accesses a second over all proxies
+ * @param rate requests a second over all proxies
  * @param skew exponent of Zipf's law
  * @param rude clients a second that send what is no command
- * @param warmUp rounds of accesses that a proxy sends through itself
+ * @param warmUp rounds of requests that a proxy sends through itself
  * @param room how many times the steady load the nodes bear
  * @param tips a cold node falls over at so many times what it bears then
  * @param sockets descriptors of a proxy
@@ -24,7 +24,7 @@
  * @param fleet what only a large fleet makes felt
  * @param faults in the order of their times
  */
-record Script(
+record Scenario(
     long seed,
     long lastsMs,
     int proxies,
@@ -48,7 +48,7 @@
    * @param zones over which the nodes are spread
    * @param uneven how unlike the proxies' traffic is: exponent of Zipf's law, 0 for all alike
    * @param places connections that a node takes
-   * @param calls a second that the node list works off in turn; 0 for any number
+   * @param calls a second that the endpoint list works off in turn; 0 for any number
    */
   record Fleet(int zones, double uneven, int places, double calls) {
     Fleet with(String word, double to) {
@@ -60,8 +60,8 @@
     }
   }
 
-  static final Script PLAIN =
-      new Script(
+  static final Scenario PLAIN =
+      new Scenario(
           1,
           20_000,
           2,
@@ -81,8 +81,8 @@
           new Fleet(2, 0, 60, 0),
           List.of());
 
-  Script with(List<Fault> faults) {
-    return new Script(
+  Scenario with(List<Fault> faults) {
+    return new Scenario(
         seed,
         lastsMs,
         proxies,
@@ -104,8 +104,8 @@
   }
 
   /** The same with one figure set, by the word that the text has for it. */
-  Script with(String word, double to) {
-    return new Script(
+  Scenario with(String word, double to) {
+    return new Scenario(
         word.equals("seed") ? (long) to : seed,
         word.equals("lasts") ? (long) to : lastsMs,
         word.equals("proxies") ? (int) to : proxies,
@@ -126,8 +126,8 @@
         faults);
   }
 
-  Script mode(String mode) {
-    return new Script(
+  Scenario mode(String mode) {
+    return new Scenario(
         seed,
         lastsMs,
         proxies,
@@ -148,8 +148,8 @@
         faults);
   }
 
-  Script group(String group) {
-    return new Script(
+  Scenario group(String group) {
+    return new Scenario(
         seed, lastsMs, proxies, nodes, through, group, memoryMs, rate, keys, skew, rude, warmUp,
         room, tips, sockets, stay, fleet, faults);
   }
@@ -195,8 +195,8 @@
   }
 
   /** Reads a script; blank lines and what follows a {@code #} say nothing. */
-  static Script read(String text) {
-    Script script = PLAIN;
+  static Scenario read(String text) {
+    Scenario scenario = PLAIN;
     List<Fault> faults = new ArrayList<>();
     int number = 0;
     for (String line : text.split("\n", -1)) {
@@ -206,16 +206,16 @@
         if (said.startsWith("at ")) {
           faults.add(Fault.read(said));
         } else if (!said.isEmpty()) {
-          script = script.read(said.split(" +"));
+          scenario = scenario.read(said.split(" +"));
         }
       } catch (IllegalArgumentException e) {
-        throw new BadInput("line " + number + ": " + e.getMessage());
+        throw new InvalidInputException("line " + number + ": " + e.getMessage());
       }
     }
-    return script.with(faults);
+    return scenario.with(faults);
   }
 
-  private Script read(String[] words) {
+  private Scenario read(String[] words) {
     if (words.length != 2) {
       throw new IllegalArgumentException("not one word and its value");
     }
--- a/src/main/java/pathgw/simulation/Draw.java
+++ b/src/main/java/pathgw/simulation/ScenarioGenerator.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Random;
 import pathgw.simulation.Fault.Kind;
-import pathgw.simulation.Script.Fleet;
+import pathgw.simulation.Scenario.Fleet;
 
 /**
  * Draws a whole script from a seed: the shape, and troubles that come singly, together and over
  * each other.
  */
-final class Draw {
+final class ScenarioGenerator {
   private static final long LASTS = 20_000;
 
   /** Troubles end by then, so that the run shows whether service comes back. */
@@ -20,27 +20,27 @@
 
   private final Random chance;
 
-  private Draw(long seed) {
+  private ScenarioGenerator(long seed) {
     chance = new Random(seed * 0x9E3779B97F4A7C15L + 1);
   }
 
-  static Script script(long seed) {
-    return new Draw(seed).script().with("seed", seed);
+  static Scenario scenario(long seed) {
+    return new ScenarioGenerator(seed).scenario().with("seed", seed);
   }
 
-  private Script script() {
+  private Scenario scenario() {
     int proxies = 2 + chance.nextInt(1 + chance.nextInt(7));
     int nodes = 4 + chance.nextInt(1 + chance.nextInt(37));
     String[] groups = {"all", "all", "zone", "cell"};
     boolean through = chance.nextInt(3) == 0;
     double rude = chance.nextInt(3) == 0 ? 2 : 0;
     int warmUp = chance.nextInt(16) == 0 ? 6 : chance.nextInt(4) == 0 ? 1 : 0;
-    // Few nodes under many accesses: only there a cold one is in danger.
+    // Few nodes under many requests: only there a cold one is in danger.
     boolean dense = chance.nextInt(4) == 0;
     nodes = dense ? 3 + nodes / 8 : nodes;
     double rate = dense ? 60 + chance.nextInt(80) : 10 + 8 * proxies + chance.nextInt(40);
-    Script shape =
-        new Script(
+    Scenario shape =
+        new Scenario(
             0,
             LASTS,
             proxies,
@@ -57,7 +57,7 @@
             (3 + chance.nextInt(4)) / 2.0,
             chance.nextInt(3) == 0 ? 160 + chance.nextInt(100) : 1024,
             chance.nextInt(3) == 0 ? 0.5 : 0,
-            Script.PLAIN.fleet(),
+            Scenario.PLAIN.fleet(),
             List.of());
     List<Fault> faults = new ArrayList<>();
     int spells = 1 + chance.nextInt(5);
@@ -71,22 +71,22 @@
     return shape.with(faults);
   }
 
-  /** Up to 100 proxies that see some tens of accesses a second at most, over up to 200 nodes. */
-  static Script fleet(long seed) {
-    Draw draw = new Draw(seed);
+  /** Up to 100 proxies that see some tens of requests a second at most, over up to 200 nodes. */
+  static Scenario fleet(long seed) {
+    ScenarioGenerator draw = new ScenarioGenerator(seed);
     return (seed % 4 == 3 ? draw.hidden() : draw.fleet()).with("seed", seed);
   }
 
   /**
    * All watches fall silent within the first seconds, a quarter of the nodes begins to leave right
-   * after and goes on serving, and the list service can't tell all proxies before that counts as
-   * told.
+   * after and goes on serving, and the discovery service can't tell all proxies before that counts
+   * as told.
    */
-  private Script hidden() {
+  private Scenario hidden() {
     int proxies = 80 + chance.nextInt(41);
     int nodes = 100 + chance.nextInt(201);
-    Script shape =
-        new Script(
+    Scenario shape =
+        new Scenario(
             0,
             LASTS,
             proxies,
@@ -122,12 +122,12 @@
     return shape.with(faults);
   }
 
-  private Script fleet() {
+  private Scenario fleet() {
     int proxies = 60 + chance.nextInt(41);
     int nodes = 80 + chance.nextInt(121);
     int zones = 2 + chance.nextInt(4);
-    Script shape =
-        new Script(
+    Scenario shape =
+        new Scenario(
             0,
             LASTS,
             proxies,
@@ -182,7 +182,7 @@
     return new Fault(at + 3500, 500 + chance.nextInt(2500), Kind.RESTART, -1, 0.7);
   }
 
-  private Fault fault(long at, Script shape) {
+  private Fault fault(long at, Scenario shape) {
     Kind kind = Kind.values()[chance.nextInt(Kind.ANY_FLEET)];
     int target =
         switch (kind.on) {
--- a/src/main/java/pathgw/simulation/Play.java
+++ b/src/main/java/pathgw/simulation/ScenarioRun.java
@@ -14,30 +14,30 @@
 import java.util.function.Function;
 import pathgw.config.Address;
 import pathgw.config.Config;
-import pathgw.net.Proxy;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
+import pathgw.fake.DedupMemory;
+import pathgw.fake.FakeCacheNode;
+import pathgw.fake.FakeClients;
+import pathgw.fake.FakeClients.Effect;
+import pathgw.fake.FakeClients.RequestClass;
+import pathgw.fake.FakeDiscovery;
+import pathgw.fake.FakeOrigin;
+import pathgw.fake.FaultInjection;
+import pathgw.fake.Request;
+import pathgw.fake.RequestReader;
+import pathgw.server.ProxyServer;
 import pathgw.simulation.Fault.Kind;
-import pathgw.standin.CacheNode;
-import pathgw.standin.Clients;
-import pathgw.standin.Clients.Effect;
-import pathgw.standin.Clients.Offering;
-import pathgw.standin.Memory;
-import pathgw.standin.Mischief;
-import pathgw.standin.NodeList;
-import pathgw.standin.Origin;
-import pathgw.standin.Request;
-import pathgw.standin.Requests;
-import pathgw.standin.Side;
-import pathgw.standin.Talk;
 
 /** Plays one script from its start to its end, or to the first rule that is broken. */
-final class Play implements Referee.World {
+final class ScenarioRun implements InvariantChecker.World {
   static final Duration COLD_FOR = Duration.ofSeconds(4);
   private static final double COLD_FROM = 0.3;
   private static final Duration FALL_FOR = Duration.ofSeconds(2);
   private static final Duration NODE_IDLE = Duration.ofSeconds(3);
   private static final long SLACK_MS = 50;
   private static final long GRACE_MS = 500;
-  private static final int MAX_HAND_OFFS = 4;
+  private static final int MAX_ATTEMPTS = 4;
   private static final int CELLS = 3;
 
   /** What the list has to tell counts as told by then. */
@@ -55,30 +55,30 @@
   private static final Address PEERS_ALL = new Address("10.0.255.1", 7946);
   private static final Address ORIGIN = new Address("10.3.0.1", 80);
 
-  private final Script script;
-  private final Tamper tamper;
-  private final Events events = new Events();
+  private final Scenario scenario;
+  private final Mutation mutation;
+  private final EventQueue events = new EventQueue();
   private final Trace trace;
-  private final VirtualNet net;
-  private final Referee referee;
+  private final VirtualNetwork net;
+  private final InvariantChecker checker;
   private final VirtualProcess clientsProcess;
   private final VirtualProcess listProcess;
   private final VirtualProcess originProcess;
-  private final NodeList list;
+  private final FakeDiscovery list;
 
   /** Every change of the list by its version. */
-  private final TreeMap<Long, NodeList.Entry> changed = new TreeMap<>();
+  private final TreeMap<Long, FakeDiscovery.Entry> changed = new TreeMap<>();
 
-  private final Origin origin;
-  private final Mischief originMischief = new Mischief();
-  private final Clients clients;
+  private final FakeOrigin origin;
+  private final FaultInjection originFaults = new FaultInjection();
+  private final FakeClients clients;
   private final List<Node> nodes = new ArrayList<>();
   private final List<Gate> gates = new ArrayList<>();
-  private final Map<String, Memory> memories = new LinkedHashMap<>();
+  private final Map<String, DedupMemory> memories = new LinkedHashMap<>();
   private final Map<String, List<Node>> missedAt = new LinkedHashMap<>();
   private final Map<String, Long> faults = new LinkedHashMap<>();
-  private final List<VirtualPipe> listPipes = new ArrayList<>();
-  private final CacheNode.Figures nodeFigures;
+  private final List<VirtualConnection> listConnections = new ArrayList<>();
+  private final FakeCacheNode.Figures nodeFigures;
   private Address listAt = new Address("10.2.0.1", 8500);
   private long listDownUntil;
   private int incarnations;
@@ -87,12 +87,12 @@
   /** A cache node under one name, through all its processes. */
   private static final class Node {
     final String host;
-    final Mischief mischief = new Mischief();
+    final FaultInjection mischief = new FaultInjection();
     final int number;
     final int zones;
     Address dial;
     VirtualProcess process;
-    CacheNode node;
+    FakeCacheNode node;
     long bornMs;
     boolean going;
 
@@ -102,8 +102,8 @@
       this.zones = zones;
     }
 
-    NodeList.Entry entry(String health) {
-      return new NodeList.Entry(
+    FakeDiscovery.Entry entry(String health) {
+      return new FakeDiscovery.Entry(
           host, dial.toString(), "z" + number % zones, "std", number % CELLS, health, bornMs);
     }
   }
@@ -112,7 +112,7 @@
   private static final class Gate {
     final int number;
     VirtualProcess process;
-    Proxy proxy;
+    ProxyServer proxy;
     long bornAt;
     boolean serves;
     boolean leaving;
@@ -133,40 +133,40 @@
     }
   }
 
-  private Play(Script script, Tamper tamper, Consumer<String> out) {
-    this.script = script;
-    this.tamper = tamper;
+  private ScenarioRun(Scenario scenario, Mutation mutation, Consumer<String> out) {
+    this.scenario = scenario;
+    this.mutation = mutation;
     trace = new Trace(out);
     net =
-        new VirtualNet(
+        new VirtualNetwork(
             events, chance("net"), (process, bytes) -> trace.mix(events.now(), bytes.hashCode()));
-    referee =
-        new Referee(
+    checker =
+        new InvariantChecker(
             events,
             trace,
             this,
-            new Referee.Figures(
+            new InvariantChecker.Figures(
                 SLACK_MS * 1_000_000,
                 GRACE_MS * 1_000_000,
-                MAX_HAND_OFFS,
-                script.group(),
-                script.memoryMs() * 1_000_000,
-                script.sockets()),
-            script.proxies());
+                MAX_ATTEMPTS,
+                scenario.group(),
+                scenario.memoryMs() * 1_000_000,
+                scenario.sockets()),
+            scenario.proxies());
     clientsProcess = process("clients");
     listProcess = process("list");
     originProcess = process("origin");
-    list = new NodeList(listProcess, chance("list"), new ToldWitness());
-    list.takes(script.fleet().calls());
-    int slots = Math.max(3, (int) Math.ceil(script.rate() * 0.01 * script.room()));
+    list = new FakeDiscovery(listProcess, chance("list"), new ToldWitness());
+    list.takes(scenario.fleet().calls());
+    int slots = Math.max(3, (int) Math.ceil(scenario.rate() * 0.01 * scenario.room()));
     origin =
-        new Origin(
+        new FakeOrigin(
             "origin",
             originProcess,
             chance("origin"),
-            referee,
-            originMischief,
-            new Origin.Figures(
+            checker,
+            originFaults,
+            new FakeOrigin.Figures(
                 slots,
                 Duration.ofMillis(25),
                 64,
@@ -175,46 +175,46 @@
                 2.5,
                 FALL_FOR,
                 Duration.ofSeconds(3),
-                Duration.ofMillis(script.memoryMs())),
+                Duration.ofMillis(scenario.memoryMs())),
             new Copies());
     double service =
-        Math.max(0.004, Math.min(0.06, script.nodes() / (script.room() * script.rate())));
+        Math.max(0.004, Math.min(0.06, scenario.nodes() / (scenario.room() * scenario.rate())));
     nodeFigures =
-        new CacheNode.Figures(
+        new FakeCacheNode.Figures(
             1,
             Duration.ofNanos((long) (service * 1e9)),
             24,
-            script.fleet().places(),
+            scenario.fleet().places(),
             NODE_IDLE,
             COLD_FROM,
             COLD_FOR,
-            script.tips(),
+            scenario.tips(),
             FALL_FOR,
             4096,
-            script.through() ? origin : null);
+            scenario.through() ? origin : null);
     clients =
-        new Clients(
+        new FakeClients(
             clientsProcess,
             chance("clients"),
             this::open,
-            referee,
-            script.proxies(),
-            script.fleet().uneven(),
-            offerings(),
+            checker,
+            scenario.proxies(),
+            scenario.fleet().uneven(),
+            requestClasses(),
             List.of("one", "two", "three"),
-            script.keys(),
-            script.skew());
+            scenario.keys(),
+            scenario.skew());
   }
 
   /**
    * @param out hears every line of what happened; null for none
    */
-  static Outcome play(Script script, Tamper tamper, Consumer<String> out) {
-    return new Play(script, tamper, out).play();
+  static RunResult play(Scenario scenario, Mutation mutation, Consumer<String> out) {
+    return new ScenarioRun(scenario, mutation, out).play();
   }
 
   private Random chance(String of) {
-    return new Random(script.seed() * 1_000_003 + of.hashCode());
+    return new Random(scenario.seed() * 1_000_003 + of.hashCode());
   }
 
   private VirtualProcess process(String name) {
@@ -226,32 +226,39 @@
         });
   }
 
-  private List<Offering> offerings() {
+  private List<RequestClass> requestClasses() {
     return List.of(
-        new Offering("read", Effect.REISSUABLE, true, ms(1400), ms(600), 0.7),
-        new Offering("hold", Effect.NUMBERED, script.group().equals("all"), ms(900), ms(450), 0.2),
-        new Offering("book", Effect.AT_MOST_ONCE, false, ms(1400), ms(700), 0.1));
+        new RequestClass("read", Effect.IDEMPOTENT, true, ms(1400), ms(600), 0.7),
+        new RequestClass(
+            "hold",
+            Effect.IDEMPOTENCY_KEYED,
+            scenario.group().equals("all"),
+            ms(900),
+            ms(450),
+            0.2),
+        new RequestClass("book", Effect.AT_MOST_ONCE, false, ms(1400), ms(700), 0.1));
   }
 
   private static Duration ms(long ms) {
     return Duration.ofMillis(ms);
   }
 
-  private Outcome play() {
+  private RunResult play() {
     net.listen(ORIGIN, originProcess, end -> takes(end, side -> origin.accept(name(end), side)));
     listens();
-    if (!script.through()) {
-      list.change(new NodeList.Entry("origin", ORIGIN.toString(), "z0", "origin", 0, "ready", 0));
+    if (!scenario.through()) {
+      list.change(
+          new FakeDiscovery.Entry("origin", ORIGIN.toString(), "z0", "origin", 0, "ready", 0));
     }
-    for (int i = 0; i < script.nodes(); i++) {
+    for (int i = 0; i < scenario.nodes(); i++) {
       Node n = newNode();
       begin(n, false);
-      for (int k = 0; k < script.keys(); k++) {
+      for (int k = 0; k < scenario.keys(); k++) {
         n.node.store("k" + k, 0);
       }
       list.change(n.entry("ready"));
     }
-    for (int i = 0; i < script.proxies(); i++) {
+    for (int i = 0; i < scenario.proxies(); i++) {
       Gate g = new Gate(i);
       gates.add(g);
       knows(g);
@@ -259,77 +266,77 @@
     }
     habits();
     clientsProcess.in(ms(300), clients::start);
-    script.faults().forEach(f -> events.at(f.atMs() * 1_000_000, null, () -> strike(f)));
+    scenario.faults().forEach(f -> events.at(f.atMs() * 1_000_000, null, () -> strike(f)));
     events.at(
-        Math.max(0, script.lastsMs() - SERVICE_OVER_MS) * 1_000_000, null, referee::countFromNow);
-    events.at(script.lastsMs() * 1_000_000, null, clients::stop);
-    long end = (script.lastsMs() + SETTLES_MS) * 1_000_000;
+        Math.max(0, scenario.lastsMs() - SERVICE_OVER_MS) * 1_000_000, null, checker::countFromNow);
+    events.at(scenario.lastsMs() * 1_000_000, null, clients::stop);
+    long end = (scenario.lastsMs() + SETTLES_MS) * 1_000_000;
     long steps = 0;
-    while (referee.breach() == null && events.step(end)) {
+    while (checker.breach() == null && events.step(end)) {
       steps++;
       VirtualProcess last = events.last();
       if (last != null && last.name.startsWith("p")) {
         Gate g = gates.get(Integer.parseInt(last.name.substring(1)));
         if (g.serves && !last.dead()) {
-          referee.bounds(g.number, g.proxy.held());
+          checker.bounds(g.number, g.proxy.held());
         }
       }
     }
-    if (referee.breach() == null) {
+    if (checker.breach() == null) {
       gates.stream()
           .filter(g -> g.serves && !g.process.dead())
-          .forEach(g -> referee.empty(g.number, g.proxy.held()));
-      referee.cameBack(room(), events.now() / 1_000_000 - SETTLES_MS - script.calmFromMs());
+          .forEach(g -> checker.empty(g.number, g.proxy.held()));
+      checker.cameBack(room(), events.now() / 1_000_000 - SETTLES_MS - scenario.calmFromMs());
     }
-    Map<String, Long> counts = new LinkedHashMap<>(referee.counts());
+    Map<String, Long> counts = new LinkedHashMap<>(checker.counts());
     faults.forEach((kind, count) -> counts.put("fault " + kind, count));
-    return new Outcome(
-        script,
-        referee.breach(),
+    return new RunResult(
+        scenario,
+        checker.breach(),
         trace.digest(),
         steps,
         events.now() / 1_000_000,
-        referee.service(),
+        checker.service(),
         counts);
   }
 
   /** How many times the steady load the nodes bear that are left. */
   private double room() {
     long left = nodes.stream().filter(n -> !n.going && !n.process.dead()).count();
-    return script.room() * Math.min(1, (double) left / script.nodes());
+    return scenario.room() * Math.min(1, (double) left / scenario.nodes());
   }
 
   private void habits() {
-    Clients.Habits h = clients.habits();
-    h.rate = script.rate();
-    h.rude = script.rude();
-    h.stay = script.stay();
+    FakeClients.Habits h = clients.habits();
+    h.rate = scenario.rate();
+    h.rude = scenario.rude();
+    h.stay = scenario.stay();
   }
 
   // Connections.
 
-  private static String name(VirtualPipe end) {
+  private static String name(VirtualConnection end) {
     String[] parts = end.there().host().split("\\.");
     return "p"
         + ((Integer.parseInt(parts[1]) - GATES_AT) * GATES_A_NET + Integer.parseInt(parts[2]));
   }
 
-  private boolean takes(VirtualPipe end, Function<Side, Talk> accept) {
-    Talk talk = accept.apply(new PipeSide(end));
+  private boolean takes(VirtualConnection end, Function<ConnectionSide, ConnectionHandler> accept) {
+    ConnectionHandler talk = accept.apply(new PipeSide(end));
     if (talk == null) {
       return false;
     }
-    end.reads(talk::came);
-    end.whenOver(over -> talk.over());
+    end.onData(talk::came);
+    end.onClose(over -> talk.over());
     return true;
   }
 
-  private void open(int proxy, Function<Side, Talk> up, Runnable refused) {
+  private void open(int proxy, Function<ConnectionSide, ConnectionHandler> up, Runnable refused) {
     net.dial(clientsProcess, "10.4.0.1", gates.get(proxy).listen(), 1_000_000_000L)
         .onComplete(end -> takes(end, up), e -> refused.run());
   }
 
-  private record PipeSide(VirtualPipe end) implements Side {
+  private record PipeSide(VirtualConnection end) implements ConnectionSide {
     @Override
     public void write(Buffer bytes) {
       end.write(bytes);
@@ -352,9 +359,9 @@
   }
 
   /** Reads along on what a proxy sends to a node or the origin. */
-  private void tap(int proxy, VirtualPipe pipe) {
-    String place = pipe.ownerThere().name;
-    referee.opened(place);
+  private void tap(int proxy, VirtualConnection connection) {
+    String place = connection.ownerThere().name;
+    checker.opened(place);
     boolean http = place.equals("origin");
     if (!http && !place.startsWith("n")) {
       return;
@@ -362,11 +369,12 @@
     long[] first = {-1};
     Consumer<Request> whole =
         request -> {
-          referee.handedOff(proxy, place, request, first[0]);
+          checker.handedOff(proxy, place, request, first[0]);
           first[0] = -1;
         };
-    Requests scan = http ? Requests.http(whole, () -> {}) : Requests.meta(whole, () -> {});
-    pipe.tap(
+    RequestReader scan =
+        http ? RequestReader.http(whole, () -> {}) : RequestReader.meta(whole, () -> {});
+    connection.tap(
         bytes -> {
           first[0] = first[0] < 0 ? events.now() : first[0];
           scan.take(bytes);
@@ -375,7 +383,7 @@
 
   // Nodes and the origin.
 
-  private final class Copies implements Origin.Copies {
+  private final class Copies implements FakeOrigin.Copies {
     @Override
     public void fetched(Request request, int version) {
       List<Node> at = missedAt.remove(request.id());
@@ -393,7 +401,7 @@
   }
 
   private Node newNode() {
-    Node n = new Node("n" + hosts, hosts++, script.fleet().zones());
+    Node n = new Node("n" + hosts, hosts++, scenario.fleet().zones());
     nodes.add(n);
     return n;
   }
@@ -405,17 +413,18 @@
         n.dial == null
             ? new Address("10.1." + incarnations % 250 + "." + (1 + incarnations++ / 250), 11211)
             : n.dial;
-    n.bornMs = cold ? ProxyOutside.EPOCH_MS + events.now() / 1_000_000 : 0;
+    n.bornMs = cold ? SimulatedTransport.EPOCH_MS + events.now() / 1_000_000 : 0;
     VirtualProcess own = n.process;
     String group =
-        switch (script.group()) {
+        switch (scenario.group()) {
           case "zone" -> "z" + n.number % n.zones;
           case "cell" -> "c" + n.number % CELLS;
           default -> "all";
         };
-    Memory memory = memories.computeIfAbsent(group, g -> new Memory(ms(script.memoryMs())));
+    DedupMemory memory =
+        memories.computeIfAbsent(group, g -> new DedupMemory(ms(scenario.memoryMs())));
     n.node =
-        new CacheNode(
+        new FakeCacheNode(
             n.host,
             own,
             chance(n.host + incarnations),
@@ -432,26 +441,26 @@
   }
 
   /** Also notes where reads missed, so that the origin's answer leaves a copy there. */
-  private final class NodeWitness extends ForwardingWitness {
+  private final class NodeWitness extends ForwardingObserver {
     private final Node node;
 
     NodeWitness(Node node) {
-      super(referee);
+      super(checker);
       this.node = node;
     }
 
     @Override
     public void missed(String place, Request request, boolean cold) {
-      if (!script.through()) {
+      if (!scenario.through()) {
         missedAt.computeIfAbsent(request.id(), id -> new ArrayList<>(1)).add(node);
       }
       super.missed(place, request, cold);
     }
   }
 
-  private final class ToldWitness extends ForwardingWitness {
+  private final class ToldWitness extends ForwardingObserver {
     ToldWitness() {
-      super(referee);
+      super(checker);
     }
 
     @Override
@@ -490,17 +499,17 @@
   }
 
   /**
-   * Whatever became of its calls: so long after the list service had it and could be reached, by a
-   * process that was there. What has changed back by then nobody can be told any more.
+   * Whatever became of its calls: so long after the discovery service had it and could be reached,
+   * by a process that was there. What has changed back by then nobody can be told any more.
    */
-  private void countsAsTold(Gate g, NodeList.Entry e, long version, long since) {
+  private void countsAsTold(Gate g, FakeDiscovery.Entry e, long version, long since) {
     if (g.process.dead() || !list.says(e.host(), e.health())) {
       return;
     }
     long from = Math.max(since, Math.max(listDownUntil, g.bornAt));
     long left = from + TOLD_WITHIN.toNanos() - events.now();
     if (left <= 0) {
-      referee.countsAsTold(g.number, e.host(), e.health(), version);
+      checker.countsAsTold(g.number, e.host(), e.health(), version);
     } else if (listDownUntil < Long.MAX_VALUE / 2) {
       events.in(left, null, () -> countsAsTold(g, e, version, since));
     }
@@ -521,23 +530,27 @@
   // Proxies.
 
   private void begin(Gate g) {
-    g.process = new VirtualProcess("p" + g.number, events, e -> referee.fault(g.number, e));
+    g.process = new VirtualProcess("p" + g.number, events, e -> checker.fault(g.number, e));
     g.bornAt = events.now();
     g.serves = false;
     g.leaving = false;
     VirtualProcess own = g.process;
-    Config config = Config.read(tamper.config(config(g)).getBytes(StandardCharsets.UTF_8));
-    referee.begins(g.number, g.knownHealth, g.knownVersion);
-    ProxyOutside outside =
-        new ProxyOutside(
+    Config config = Config.read(mutation.config(config(g)).getBytes(StandardCharsets.UTF_8));
+    checker.begins(g.number, g.knownHealth, g.knownVersion);
+    SimulatedTransport transport =
+        new SimulatedTransport(
             events,
             net,
             own,
             Gate.host(g.number),
             PEERS_ALL,
-            referee.watcher(g.number),
-            to -> pipe -> tap(g.number, pipe));
-    g.proxy = new Proxy(tamper.outside(outside, g.number), config, script.warmUp());
+            to -> connection -> tap(g.number, connection));
+    g.proxy =
+        new ProxyServer(
+            mutation.transport(transport, g.number),
+            config,
+            scenario.warmUp(),
+            checker.observer(g.number));
     net.soon(
         own,
         () ->
@@ -549,7 +562,7 @@
                       clients.serves(g.number);
                       trace.say(events.now(), () -> "p" + g.number + " serves");
                     },
-                    e -> referee.broken(5, "start", "p" + g.number + " does not start: " + e)));
+                    e -> checker.broken(5, "start", "p" + g.number + " does not start: " + e)));
   }
 
   private void kill(Gate g) {
@@ -566,7 +579,7 @@
         null,
         () -> {
           if (g.process == own && !own.dead() && own.stoodUntil() < events.now() - 3_000_000_000L) {
-            referee.broken(
+            checker.broken(
                 1, "stop", "p" + g.number + " has not stopped in " + STOP_WITHIN_MS + " ms");
           }
         });
@@ -592,14 +605,14 @@
 
   private String config(Gate g) {
     StringBuilder peers = new StringBuilder();
-    for (int i = 0; i < script.proxies(); i++) {
+    for (int i = 0; i < scenario.proxies(); i++) {
       peers.append(i == 0 ? "" : ",").append("\"").append(Gate.host(i)).append(":7946\"");
     }
     StringBuilder zones = new StringBuilder();
-    for (int i = 0; i < script.fleet().zones(); i++) {
+    for (int i = 0; i < scenario.fleet().zones(); i++) {
       zones.append(i == 0 ? "" : ",").append("\"z").append(i).append('"');
     }
-    double quota = script.rate() * 0.6;
+    double quota = scenario.rate() * 0.6;
     return String.format(
         Locale.ROOT,
         "{\"name\":\"p%d\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\","
@@ -617,41 +630,41 @@
         g.number,
         g.listen(),
         listAt,
-        script.seed() * 31 + g.number + events.now(),
-        script.sockets(),
+        scenario.seed() * 31 + g.number + events.now(),
+        scenario.sockets(),
         Gate.host(g.number),
         peers,
         PEERS_ALL,
         g.known,
-        script.proxies(),
+        scenario.proxies(),
         zones,
-        script.through() ? "through" : "aside",
-        script.through() ? -1 : 1,
+        scenario.through() ? "through" : "aside",
+        scenario.through() ? -1 : 1,
         quota,
         quota,
         quota,
-        offering("read", "free", 400, 1400),
-        offering("hold", "guarded", 150, 900),
-        offering("book", "single_shot", 400, 1400),
-        MAX_HAND_OFFS,
+        requestClass("read", "free", 400, 1400),
+        requestClass("hold", "guarded", 150, 900),
+        requestClass("book", "single_shot", 400, 1400),
+        MAX_ATTEMPTS,
         NODE_IDLE.toNanos(),
         ASK_WITHIN.toNanos(),
         COLD_FROM,
         COLD_FOR.toNanos(),
-        script.tips(),
+        scenario.tips(),
         FALL_FOR.toNanos(),
         SLACK_MS * 1_000_000);
   }
 
-  private String offering(String name, String effect, long goalMs, long limitMs) {
+  private String requestClass(String name, String effect, long goalMs, long limitMs) {
     return "{\"name\":\""
         + name
         + "\",\"effect\":\""
         + effect
         + "\",\"dedupScope\":\""
-        + script.group()
+        + scenario.group()
         + "\",\"keyTtlNs\":"
-        + script.memoryMs()
+        + scenario.memoryMs()
         + "000000,\"latencyGoalNs\":"
         + goalMs
         + "000000,\"outerLimitNs\":"
@@ -677,7 +690,7 @@
   @Override
   public int zone(String place) {
     return place.startsWith("n")
-        ? Integer.parseInt(place.substring(1)) % script.fleet().zones()
+        ? Integer.parseInt(place.substring(1)) % scenario.fleet().zones()
         : 0;
   }
 
@@ -701,7 +714,7 @@
             takes(
                 end,
                 side -> {
-                  listPipes.add(end);
+                  listConnections.add(end);
                   return list.accept(name(end), side);
                 }));
   }
@@ -709,10 +722,10 @@
   private void hangUp() {
     net.deaf(listAt);
     listAt = new Address("10.2.0." + (listAt.host().endsWith(".1") ? 2 : 1), 8500);
-    List<VirtualPipe> old = List.copyOf(listPipes);
-    listPipes.clear();
+    List<VirtualConnection> old = List.copyOf(listConnections);
+    listConnections.clear();
     listens();
-    events.in(1_500_000_000L, null, () -> old.forEach(VirtualPipe::close));
+    events.in(1_500_000_000L, null, () -> old.forEach(VirtualConnection::close));
     gates.stream()
         .filter(g -> g.serves && !g.leaving)
         .forEach(
@@ -726,7 +739,7 @@
 
   private boolean spare() {
     return nodes.stream().filter(n -> !n.going && !n.process.dead()).count()
-        > Math.max(1, script.nodes() / 2);
+        > Math.max(1, scenario.nodes() / 2);
   }
 
   @SuppressWarnings("EnumOrdinal") // Part of the digest.
@@ -734,9 +747,9 @@
     trace.mix(events.now(), f.kind().ordinal());
     trace.say(events.now(), f::toString);
     faults.merge(f.kind().word(), 1L, Long::sum);
-    Node n = f.kind().on == Fault.On.NODE ? nodes.get(f.target() % script.nodes()) : null;
+    Node n = f.kind().on == Fault.On.NODE ? nodes.get(f.target() % scenario.nodes()) : null;
     Gate g = f.kind().on == Fault.On.PROXY ? gates.get(f.target() % gates.size()) : null;
-    Clients.Habits h = clients.habits();
+    FakeClients.Habits h = clients.habits();
     switch (f.kind()) {
       case DIES, MOVES -> die(n, f);
       case FREEZES -> n.process.standStill(events.now() + f.forMs() * 1_000_000);
@@ -761,13 +774,13 @@
       case GROWS -> grow();
       case DEPLOY -> deploy(f);
       case ORIGIN_SLOW ->
-          during(f, () -> originMischief.slower = f.by(), () -> originMischief.slower = 1);
+          during(f, () -> originFaults.slower = f.by(), () -> originFaults.slower = 1);
       case ORIGIN_FAILS ->
-          during(f, () -> originMischief.fails = f.by(), () -> originMischief.fails = 0);
+          during(f, () -> originFaults.fails = f.by(), () -> originFaults.fails = 0);
       case ORIGIN_SPOILS ->
-          during(f, () -> originMischief.spoils = f.by(), () -> originMischief.spoils = 0);
+          during(f, () -> originFaults.spoils = f.by(), () -> originFaults.spoils = 0);
       case ORIGIN_RESETS ->
-          during(f, () -> originMischief.resets = f.by(), () -> originMischief.resets = 0);
+          during(f, () -> originFaults.resets = f.by(), () -> originFaults.resets = 0);
       case LIST_LATE ->
           during(f, () -> list.late(ms((long) f.by())), () -> list.late(Duration.ZERO));
       case LIST_DOWN -> down(f);
@@ -790,7 +803,8 @@
       }
       case STANDS_STILL -> g.process.standStill(events.now() + f.forMs() * 1_000_000);
       case HANGUP -> hangUp();
-      case BURST -> during(f, () -> h.rate = script.rate() * f.by(), () -> h.rate = script.rate());
+      case BURST ->
+          during(f, () -> h.rate = scenario.rate() * f.by(), () -> h.rate = scenario.rate());
       case HOT -> during(f, () -> h.hot = f.by(), () -> h.hot = 0);
       case GREED -> during(f, () -> h.greed = f.by(), () -> h.greed = 1);
       case LEAVE -> during(f, () -> h.leaves = f.by(), () -> h.leaves = 0);
@@ -826,13 +840,13 @@
                             })));
   }
 
-  private void countsAsToldIfDeaf(Gate g, NodeList.Entry e) {
+  private void countsAsToldIfDeaf(Gate g, FakeDiscovery.Entry e) {
     Duration since = list.deafSince("p" + g.number);
     if (since != null
         && !g.process.dead()
         && g.bornAt < since.toNanos()
         && since.plus(TOLD_WITHIN).toNanos() <= events.now()) {
-      referee.countsAsTold(g.number, e.host(), e.health(), list.seq());
+      checker.countsAsTold(g.number, e.host(), e.health(), list.seq());
     }
   }
 
--- a/src/main/java/pathgw/simulation/Shrink.java
+++ b/src/main/java/pathgw/simulation/ScenarioShrinker.java
@@ -5,26 +5,26 @@
 import java.util.function.Function;
 
 /** Makes a script that breaks a rule as small as it stays while it breaks the rule alike. */
-final class Shrink {
+final class ScenarioShrinker {
   private static final int MOST_PLAYS = 400;
 
-  private final Function<Script, Outcome> play;
-  private final Breach breach;
-  private Script best;
+  private final Function<Scenario, RunResult> play;
+  private final Violation breach;
+  private Scenario best;
   private int plays;
 
-  private Shrink(Function<Script, Outcome> play, Outcome failed) {
+  private ScenarioShrinker(Function<Scenario, RunResult> play, RunResult failed) {
     this.play = play;
     breach = failed.breach();
-    best = failed.script();
+    best = failed.scenario();
   }
 
   /**
    * @param play plays a script; called a bounded number of times
    */
-  static Script shrink(Function<Script, Outcome> play, Outcome failed) {
-    Shrink shrink = new Shrink(play, failed);
-    Script before;
+  static Scenario shrink(Function<Scenario, RunResult> play, RunResult failed) {
+    ScenarioShrinker shrink = new ScenarioShrinker(play, failed);
+    Scenario before;
     do {
       before = shrink.best;
       shrink.time(failed);
@@ -35,7 +35,7 @@
     return shrink.best;
   }
 
-  private boolean takes(Script smaller) {
+  private boolean takes(Scenario smaller) {
     if (smaller.equals(best) || plays++ >= MOST_PLAYS) {
       return false;
     }
@@ -47,7 +47,7 @@
   }
 
   /** What comes after the breach has no part in it; a leak shows only at the end of a run. */
-  private void time(Outcome failed) {
+  private void time(RunResult failed) {
     for (long lasts :
         new long[] {
           best.lastsMs() / 4, best.lastsMs() / 2, failed.breach().atNanos() / 1_000_000 + 1000
@@ -92,14 +92,14 @@
     while (slower) {
       slower = takes(best.with("rate", Math.max(1, Math.floor(best.rate() / 2))));
     }
-    Script p = Script.PLAIN;
+    Scenario p = Scenario.PLAIN;
     takes(best.with("keys", p.keys()));
     takes(best.with("skew", p.skew()));
     takes(best.with("room", p.room()));
     takes(best.with("tips", p.tips()));
     takes(best.with("memory", p.memoryMs()));
     takes(best.with("sockets", p.sockets()));
-    for (Script simpler : List.of(best.mode("aside"), best.group("all"))) {
+    for (Scenario simpler : List.of(best.mode("aside"), best.group("all"))) {
       takes(simpler);
     }
   }
--- a/src/main/java/pathgw/simulation/Seeds.java
+++ b/src/main/java/pathgw/simulation/SeedRange.java
@@ -17,15 +17,15 @@
  * Plays many seeds, each wholly on one thread; what comes out is the same however many threads
  * there are.
  */
-public final class Seeds {
+public final class SeedRange {
   /**
    * What came of a range of seeds.
    *
    * @param failed the outcomes in which a rule was broken, by seed
    * @param digest of all digests, in the order of the seeds
    * @param counts how often each trouble, end and answer came
-   * @param service the shares of first tries delivered after the troubles, of the runs that kept
-   *     all rules
+   * @param service the shares of first tries served after the troubles, of the runs that kept all
+   *     rules
    */
   public record Sum(
       long played,
@@ -37,11 +37,11 @@
       List<Double> service) {}
 
   /** A seed that broke a rule, and the small script that breaks it alike. */
-  public record Failure(long seed, String breach, String script, String shrunk) {}
+  public record Failure(long seed, String breach, String scenario, String shrunk) {}
 
   private static final int AHEAD = 16;
 
-  private Seeds() {}
+  private SeedRange() {}
 
   /**
    * Plays a range of seeds.
@@ -53,13 +53,13 @@
    */
   public static Sum play(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
       throws InterruptedException {
-    return play(from, to, jobs, shrink ? 8 : 0, Tamper.NONE, Draw::script, played);
+    return play(from, to, jobs, shrink ? 8 : 0, Mutation.NONE, ScenarioGenerator::scenario, played);
   }
 
   /** The same of large fleets, which take some hundred times as long. */
   public static Sum fleets(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
       throws InterruptedException {
-    return play(from, to, jobs, shrink ? 1 : 0, Tamper.NONE, Draw::fleet, played);
+    return play(from, to, jobs, shrink ? 1 : 0, Mutation.NONE, ScenarioGenerator::fleet, played);
   }
 
   static Sum play(
@@ -67,13 +67,13 @@
       long to,
       int jobs,
       int shrinks,
-      Tamper tamper,
-      LongFunction<Script> draw,
+      Mutation mutation,
+      LongFunction<Scenario> draw,
       Consumer<long[]> played)
       throws InterruptedException {
     ExecutorService threads = Executors.newFixedThreadPool(jobs);
     try {
-      Deque<Future<Outcome>> ahead = new ArrayDeque<>();
+      Deque<Future<RunResult>> ahead = new ArrayDeque<>();
       long next = from;
       long digest = 0;
       long virtualMs = 0;
@@ -81,14 +81,14 @@
       long count = 0;
       Map<String, Long> counts = new TreeMap<>();
       List<Double> service = new ArrayList<>();
-      List<Outcome> failed = new ArrayList<>();
+      List<RunResult> failed = new ArrayList<>();
       while (next <= to || !ahead.isEmpty()) {
         // However many seeds there are, only so many wait for a thread at a time.
         while (next <= to && ahead.size() < jobs * AHEAD) {
-          Script script = draw.apply(next++);
-          ahead.add(threads.submit(() -> Play.play(script, tamper, null)));
+          Scenario scenario = draw.apply(next++);
+          ahead.add(threads.submit(() -> ScenarioRun.play(scenario, mutation, null)));
         }
-        Outcome o = ahead.poll().get();
+        RunResult o = ahead.poll().get();
         digest = Long.rotateLeft(digest * 0x9E3779B97F4A7C15L, 31) ^ o.digest();
         virtualMs += o.virtualMs();
         steps += o.steps();
@@ -96,7 +96,8 @@
         o.counts()
             .forEach(
                 (what, n) ->
-                    counts.merge(what, n, what.contains(Referee.MOST) ? Math::max : Long::sum));
+                    counts.merge(
+                        what, n, what.contains(InvariantChecker.MOST) ? Math::max : Long::sum));
         if (o.breach() != null) {
           failed.add(o);
         } else {
@@ -105,17 +106,18 @@
         played.accept(new long[] {count, failed.size()});
       }
       List<Future<Failure>> failures = new ArrayList<>();
-      for (Outcome o : failed) {
+      for (RunResult o : failed) {
         boolean small = failures.size() < shrinks;
         failures.add(
             threads.submit(
                 () ->
                     new Failure(
-                        o.script().seed(),
+                        o.scenario().seed(),
                         o.breach().toString(),
-                        o.script().toString(),
+                        o.scenario().toString(),
                         small
-                            ? Shrink.shrink(s -> Play.play(s, tamper, null), o).toString()
+                            ? ScenarioShrinker.shrink(s -> ScenarioRun.play(s, mutation, null), o)
+                                .toString()
                             : "")));
       }
       List<Failure> told = new ArrayList<>();
@@ -131,13 +133,13 @@
   }
 
   /** One run, with each line of what happened. @return the breach in words, or null */
-  public static String trace(String script, Consumer<String> out) {
-    Outcome o = Play.play(Script.read(script), Tamper.NONE, out);
+  public static String trace(String scenario, Consumer<String> out) {
+    RunResult o = ScenarioRun.play(Scenario.read(scenario), Mutation.NONE, out);
     return o.breach() == null ? null : o.breach().toString();
   }
 
   /** The script that a seed draws. */
-  public static String script(long seed, boolean fleet) {
-    return (fleet ? Draw.fleet(seed) : Draw.script(seed)).toString();
+  public static String scenario(long seed, boolean fleet) {
+    return (fleet ? ScenarioGenerator.fleet(seed) : ScenarioGenerator.scenario(seed)).toString();
   }
 }
--- a/src/main/java/pathgw/simulation/ProxyOutside.java
+++ b/src/main/java/pathgw/simulation/SimulatedTransport.java
@@ -7,40 +7,36 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import pathgw.config.Address;
-import pathgw.net.Outside;
-import pathgw.net.Pipe;
-import pathgw.net.Watcher;
+import pathgw.transport.Connection;
+import pathgw.transport.Transport;
 
 /** The world as one process of a proxy has it. */
-final class ProxyOutside implements Outside {
+final class SimulatedTransport implements Transport {
   /** Times of day in a run begin here. */
   static final long EPOCH_MS = 1_800_000_000_000L;
 
-  private final Events events;
-  private final VirtualNet net;
+  private final EventQueue events;
+  private final VirtualNetwork net;
   private final VirtualProcess process;
   private final String host;
   private final Address peersAll;
-  private final Watcher watcher;
-  private final Function<Address, Consumer<VirtualPipe>> taps;
+  private final Function<Address, Consumer<VirtualConnection>> taps;
 
   /**
    * @param taps what is done with each connection that this proxy opens, by where it leads
    */
-  ProxyOutside(
-      Events events,
-      VirtualNet net,
+  SimulatedTransport(
+      EventQueue events,
+      VirtualNetwork net,
       VirtualProcess process,
       String host,
       Address peersAll,
-      Watcher watcher,
-      Function<Address, Consumer<VirtualPipe>> taps) {
+      Function<Address, Consumer<VirtualConnection>> taps) {
     this.events = events;
     this.net = net;
     this.process = process;
     this.host = host;
     this.peersAll = peersAll;
-    this.watcher = watcher;
     this.taps = taps;
   }
 
@@ -60,22 +56,22 @@
   }
 
   @Override
-  public Future<Pipe> dial(Address to, Duration within) {
+  public Future<Connection> dial(Address to, Duration within) {
     return net.dial(process, host, to, within.toNanos())
         .map(
-            pipe -> {
-              taps.apply(to).accept(pipe);
-              return pipe;
+            connection -> {
+              taps.apply(to).accept(connection);
+              return connection;
             });
   }
 
   @Override
-  public Future<Integer> listen(Address at, Consumer<Pipe> arrived) {
+  public Future<Integer> listen(Address at, Consumer<Connection> arrived) {
     net.listen(
         at,
         process,
-        pipe -> {
-          net.soon(process, () -> arrived.accept(pipe));
+        connection -> {
+          net.soon(process, () -> arrived.accept(connection));
           return true;
         });
     return Future.succeededFuture(at.port());
@@ -86,9 +82,4 @@
     net.hear(at, process, heard);
     return (bytes, to) -> net.send(at, bytes, to, peersAll);
   }
-
-  @Override
-  public Watcher watcher() {
-    return watcher;
-  }
 }
--- a/src/main/java/pathgw/simulation/Breach.java
+++ b/src/main/java/pathgw/simulation/Violation.java
@@ -6,8 +6,8 @@
  * @param rule 1 to 4 as the deployment numbers them; 5 what the project asks of itself besides
  * @param kind says in one word what broke it; two runs that break a rule alike have the same
  */
-record Breach(int rule, String kind, long atNanos, String text) {
-  boolean like(Breach other) {
+record Violation(int rule, String kind, long atNanos, String text) {
+  boolean like(Violation other) {
     return other != null && rule == other.rule && kind.equals(other.kind);
   }
 
--- a/src/main/java/pathgw/simulation/VirtualPipe.java
+++ b/src/main/java/pathgw/simulation/VirtualConnection.java
@@ -7,34 +7,34 @@
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import pathgw.config.Address;
-import pathgw.net.Pipe;
+import pathgw.transport.Connection;
 
 /**
  * One end of a connection between two processes: bytes arrive in order, late, cut anywhere, or not
  * at all.
  */
-final class VirtualPipe implements Pipe {
+final class VirtualConnection implements Connection {
   /** What the two machines hold between them for a reader that does not read. */
   private static final int WINDOW = 1 << 18;
 
   private static final int FULL = 1 << 16;
 
-  private final VirtualNet net;
+  private final VirtualNetwork net;
   private final VirtualProcess owner;
   private final Address here;
   private final Address there;
   private final ArrayDeque<Buffer> unread = new ArrayDeque<>();
   private final ArrayDeque<Promise<Void>> unwritten = new ArrayDeque<>();
-  private VirtualPipe other;
+  private VirtualConnection other;
   private Consumer<Buffer> reader;
   private Consumer<Buffer> tap = bytes -> {};
-  private Consumer<Over> whenOver = over -> {};
-  private Runnable whenRoom = () -> {};
+  private Consumer<CloseReason> onClose = over -> {};
+  private Runnable onWritable = () -> {};
   private boolean paused;
   private boolean closed;
   private boolean overTold;
   private boolean endsWriting;
-  private Over how = Over.ORDERLY;
+  private CloseReason how = CloseReason.END_OF_STREAM;
 
   /** What arrives later than this is lost; what lies unread at the machine can still be read. */
   private long lostAfter = Long.MAX_VALUE;
@@ -43,15 +43,15 @@
   private long onTheWay;
   private long arrives;
 
-  VirtualPipe(VirtualNet net, VirtualProcess owner, Address here, Address there) {
+  VirtualConnection(VirtualNetwork net, VirtualProcess owner, Address here, Address there) {
     this.net = net;
     this.owner = owner;
     this.here = here;
     this.there = there;
-    owner.pipes.add(this);
+    owner.connections.add(this);
   }
 
-  static void join(VirtualPipe a, VirtualPipe b) {
+  static void join(VirtualConnection a, VirtualConnection b) {
     a.other = b;
     b.other = a;
   }
@@ -82,7 +82,7 @@
   }
 
   @Override
-  public void reads(Consumer<Buffer> came) {
+  public void onData(Consumer<Buffer> came) {
     reader = came;
     if (!unread.isEmpty()) {
       net.soon(owner, this::readOn);
@@ -90,13 +90,13 @@
   }
 
   @Override
-  public void whenOver(Consumer<Over> over) {
-    whenOver = over;
+  public void onClose(Consumer<CloseReason> over) {
+    onClose = over;
   }
 
   @Override
-  public void whenRoom(Runnable room) {
-    whenRoom = room;
+  public void onWritable(Runnable room) {
+    onWritable = room;
   }
 
   @Override
@@ -170,7 +170,7 @@
     }
     if (wasFull && onTheWay <= FULL / 2) {
       wasFull = false;
-      net.soon(owner, () -> whenRoom.run());
+      net.soon(owner, () -> onWritable.run());
     }
   }
 
@@ -199,13 +199,13 @@
       boolean resets = !unread.isEmpty();
       end();
       other.lostAfter = resets ? net.now() : other.lostAfter;
-      other.how = resets ? Over.BROKEN : other.how;
+      other.how = resets ? CloseReason.BROKEN : other.how;
       net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
     }
   }
 
   @Override
-  public void endWriting() {
+  public void shutdownOutput() {
     // What crosses this end is read and thrown away, which is not taken.
     endsWriting = true;
     net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
@@ -217,15 +217,15 @@
       end();
       lostAfter = net.now();
       other.lostAfter = net.now();
-      other.how = Over.BROKEN;
+      other.how = CloseReason.BROKEN;
       net.at(Math.max(arrives, net.arrival()), other.owner, other::endedThere);
     }
   }
 
   private void end() {
     closed = true;
-    how = Over.BROKEN;
-    owner.pipes.remove(this);
+    how = CloseReason.BROKEN;
+    owner.connections.remove(this);
     net.soon(owner, this::over);
   }
 
@@ -240,11 +240,11 @@
     if (!overTold) {
       overTold = true;
       closed = true;
-      owner.pipes.remove(this);
+      owner.connections.remove(this);
       while (!unwritten.isEmpty()) {
         unwritten.poll().fail(new IOException("closed"));
       }
-      whenOver.accept(how);
+      onClose.accept(how);
     }
   }
 
--- a/src/main/java/pathgw/simulation/VirtualNet.java
+++ b/src/main/java/pathgw/simulation/VirtualNetwork.java
@@ -9,23 +9,23 @@
 import java.util.Random;
 import java.util.function.BiConsumer;
 import pathgw.config.Address;
-import pathgw.net.Outside;
+import pathgw.transport.Transport;
 
 /** The network between the processes of one run. */
-final class VirtualNet {
+final class VirtualNetwork {
   private static final long LATENCY = 100_000;
   private static final int FIRST_PORT = 30_000;
 
   /** What takes the connections to an address; false turns one away. */
   interface Door {
-    boolean open(VirtualPipe end);
+    boolean open(VirtualConnection end);
   }
 
   private record Listener(VirtualProcess owner, Door door) {}
 
   private record Ear(VirtualProcess owner, BiConsumer<Buffer, Address> heard) {}
 
-  private final Events events;
+  private final EventQueue events;
   private final Random chance;
   private final BiConsumer<VirtualProcess, Buffer> seen;
   private final Map<Address, Listener> listeners = new LinkedHashMap<>();
@@ -39,7 +39,7 @@
   /**
    * @param seen hears of all bytes as they arrive, for the digest
    */
-  VirtualNet(Events events, Random chance, BiConsumer<VirtualProcess, Buffer> seen) {
+  VirtualNetwork(EventQueue events, Random chance, BiConsumer<VirtualProcess, Buffer> seen) {
     this.events = events;
     this.chance = chance;
     this.seen = seen;
@@ -102,10 +102,13 @@
     listeners.remove(at);
   }
 
-  Future<VirtualPipe> dial(VirtualProcess from, String host, Address to, long within) {
-    Promise<VirtualPipe> up = Promise.promise();
-    Events.Event tooLong =
-        events.in(within, from, () -> up.tryFail(new Outside.TooLong("no answer from " + to)));
+  Future<VirtualConnection> dial(VirtualProcess from, String host, Address to, long within) {
+    Promise<VirtualConnection> up = Promise.promise();
+    EventQueue.Event tooLong =
+        events.in(
+            within,
+            from,
+            () -> up.tryFail(new Transport.ConnectTimeoutException("no answer from " + to)));
     events.at(
         arrival(),
         null,
@@ -114,13 +117,13 @@
           if (from.dead() || from.cutOff() || (there != null && there.owner.cutOff())) {
             return;
           }
-          VirtualPipe near = new VirtualPipe(this, from, new Address(host, port++), to);
+          VirtualConnection near = new VirtualConnection(this, from, new Address(host, port++), to);
           VirtualProcess owner = there == null ? from : there.owner;
-          VirtualPipe far = new VirtualPipe(this, owner, to, near.here());
-          VirtualPipe.join(near, far);
+          VirtualConnection far = new VirtualConnection(this, owner, to, near.here());
+          VirtualConnection.join(near, far);
           if (there == null || there.owner.dead() || !there.door.open(far)) {
-            from.pipes.remove(near);
-            owner.pipes.remove(far);
+            from.connections.remove(near);
+            owner.connections.remove(far);
             events.at(
                 arrival(),
                 from,
--- a/src/main/java/pathgw/simulation/VirtualProcess.java
+++ b/src/main/java/pathgw/simulation/VirtualProcess.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import pathgw.standin.Clock;
+import pathgw.fake.Clock;
 
 /**
  * One process of the world, from one start to its end; what happens to it happens one after
@@ -14,10 +14,10 @@
  */
 final class VirtualProcess implements Clock {
   final String name;
-  final Set<VirtualPipe> pipes = new LinkedHashSet<>();
-  private final Events events;
+  final Set<VirtualConnection> connections = new LinkedHashSet<>();
+  private final EventQueue events;
   private final Consumer<RuntimeException> failed;
-  private final ArrayDeque<Events.Event> backlog = new ArrayDeque<>();
+  private final ArrayDeque<EventQueue.Event> backlog = new ArrayDeque<>();
   private long stillUntil;
   private long stoodUntil;
   private boolean dead;
@@ -26,7 +26,7 @@
   /**
    * @param failed hears of what one of its handlers threw
    */
-  VirtualProcess(String name, Events events, Consumer<RuntimeException> failed) {
+  VirtualProcess(String name, EventQueue events, Consumer<RuntimeException> failed) {
     this.name = name;
     this.events = events;
     this.failed = failed;
@@ -42,7 +42,7 @@
     events.in(span.toNanos(), this, what);
   }
 
-  void take(Events.Event event) {
+  void take(EventQueue.Event event) {
     if (dead) {
       return;
     }
@@ -53,7 +53,7 @@
     happen(event);
   }
 
-  private void happen(Events.Event event) {
+  private void happen(EventQueue.Event event) {
     try {
       event.happen();
     } catch (RuntimeException e) {
@@ -91,14 +91,14 @@
   void die() {
     dead = true;
     backlog.clear();
-    List.copyOf(pipes).forEach(VirtualPipe::reset);
+    List.copyOf(connections).forEach(VirtualConnection::reset);
   }
 
   /** The machine is cut off: nothing comes or goes, and nobody is told. */
   void cutOff(boolean cutOff) {
     if (this.cutOff && !cutOff) {
       this.cutOff = false;
-      List.copyOf(pipes).forEach(VirtualPipe::reset);
+      List.copyOf(connections).forEach(VirtualConnection::reset);
     }
     this.cutOff = cutOff;
   }
--- a/src/test/java/pathgw/HouseTest.java
+++ b/src/test/java/pathgw/ArchitectureTest.java
@@ -10,9 +10,9 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import org.junit.jupiter.api.Test;
 
-/** Where things may go, and what may see what. */
-class HouseTest {
-  private static final JavaClasses HOUSE =
+/** Which package may depend on which. */
+class ArchitectureTest {
+  private static final JavaClasses CLASSES =
       new ClassFileImporter()
           .withImportOption(new ImportOption.DoNotIncludeTests())
           .importPackages("pathgw");
@@ -34,76 +34,103 @@
                                   || c.getSimpleName().equals("URLEncoder")))));
 
   @Test
-  void noPackageDependsOnItselfThroughOthers() {
+  void packagesHaveNoCycles() {
     // Main alone, which starts the fronts, looks down from the top.
-    JavaClasses house = HOUSE.that(DescribedPredicate.not(JavaClass.Predicates.simpleName("Main")));
-    slices().matching("pathgw.(*)..").should().beFreeOfCycles().check(house);
+    JavaClasses withoutMain =
+        CLASSES.that(DescribedPredicate.not(JavaClass.Predicates.simpleName("Main")));
+    slices().matching("pathgw.(*)..").should().beFreeOfCycles().check(withoutMain);
     noClasses()
-        .that()
-        .resideInAPackage("pathgw")
         .should()
         .dependOnClassesThat()
-        .resideInAnyPackage("pathgw.*..")
-        .check(house);
+        .haveFullyQualifiedName("pathgw.Main")
+        .check(withoutMain);
   }
 
+  /** Decisions are made from what the caller tells, with no other part of the program in sight. */
   @Test
-  void whatServesKnowsNothingOfThoseWhoPlayTheWorld() {
+  void decisionsKnowAlgorithmsAndAlgorithmsNothingOfOurs() {
     noClasses()
         .that()
-        .resideInAnyPackage("pathgw.net..", "pathgw.config..", "pathgw.benchlink..")
+        .resideInAPackage("pathgw.decision..")
         .should()
-        .dependOnClassesThat()
-        .resideInAnyPackage("pathgw.standin..", "pathgw.simulation..", "pathgw.command..")
-        .check(HOUSE);
+        .dependOnClassesThat(
+            JavaClass.Predicates.resideInAPackage("pathgw..")
+                .and(
+                    DescribedPredicate.not(
+                        JavaClass.Predicates.resideInAnyPackage(
+                            "pathgw.decision..", "pathgw.algorithm.."))))
+        .check(CLASSES);
     noClasses()
         .that()
-        .resideInAPackage("pathgw.standin..")
+        .resideInAPackage("pathgw.algorithm..")
+        .should()
+        .dependOnClassesThat(
+            JavaClass.Predicates.resideInAPackage("pathgw..")
+                .and(
+                    DescribedPredicate.not(
+                        JavaClass.Predicates.resideInAPackage("pathgw.algorithm.."))))
+        .check(CLASSES);
+  }
+
+  @Test
+  void servingCodeKnowsNeitherFakesNorSimulationNorCommandLine() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackages("pathgw", "pathgw.fake..", "pathgw.simulation..", "pathgw.cli..")
         .should()
         .dependOnClassesThat()
-        .resideInAnyPackage("pathgw.net..", "pathgw.simulation..", "pathgw.command..")
-        .check(HOUSE);
+        .resideInAnyPackage("pathgw.fake..", "pathgw.simulation..", "pathgw.cli..")
+        .check(CLASSES);
+    noClasses()
+        .that()
+        .resideInAPackage("pathgw.fake..")
+        .should()
+        .dependOnClassesThat(
+            JavaClass.Predicates.resideInAPackage("pathgw..")
+                .and(
+                    DescribedPredicate.not(JavaClass.Predicates.resideInAPackage("pathgw.fake.."))))
+        .check(CLASSES);
   }
 
   /** It loads time zones and locales, which a proxy does while its clients go unserved. */
   @Test
-  void nothingLoadsTheMapperOfTheJsonLibrary() {
+  void jsonMapperIsNeverLoaded() {
     noClasses()
         .should()
         .dependOnClassesThat()
         .haveFullyQualifiedName("com.fasterxml.jackson.databind.ObjectMapper")
-        .check(HOUSE);
+        .check(CLASSES);
   }
 
   @Test
-  void oneClassKnowsSocketsAndOneTheTime() {
+  void oneClassSeesSocketsAndOneReadsTheClock() {
     noClasses()
         .that()
-        .doNotHaveFullyQualifiedName("pathgw.net.Rehearsal")
+        .doNotHaveFullyQualifiedName("pathgw.server.ClassArchiveTraining")
         .and()
-        .haveNameNotMatching("pathgw\\.net\\.VertxOutside.*")
+        .haveNameNotMatching("pathgw\\.transport\\.VertxTransport.*")
         .should()
         .dependOnClassesThat(SOCKETS)
-        .check(HOUSE);
+        .check(CLASSES);
     noClasses()
         .that()
-        .haveNameNotMatching("pathgw\\.net\\.VertxOutside")
+        .haveNameNotMatching("pathgw\\.transport\\.VertxTransport")
         .and()
-        .resideOutsideOfPackage("pathgw.command")
+        .resideOutsideOfPackage("pathgw.cli")
         .should()
         .callMethod(System.class, "nanoTime")
         .orShould()
         .callMethod(System.class, "currentTimeMillis")
-        .check(HOUSE);
+        .check(CLASSES);
   }
 
   @Test
-  void theSimulationHasNoThreadsWithinARunAndNoChanceOfItsOwn() {
+  void simulationHasNoThreadsAndNoRandomnessOfItsOwn() {
     noClasses()
         .that()
-        .resideInAnyPackage("pathgw.simulation..", "pathgw.standin..")
+        .resideInAnyPackage("pathgw.simulation..", "pathgw.fake..")
         .and()
-        .doNotHaveSimpleName("Seeds")
+        .doNotHaveSimpleName("SeedRange")
         .should()
         .dependOnClassesThat()
         .resideInAPackage("java.util.concurrent..")
@@ -111,6 +138,6 @@
         .callConstructor(java.util.Random.class)
         .orShould()
         .callMethod(Math.class, "random")
-        .check(HOUSE);
+        .check(CLASSES);
   }
 }
--- a/src/test/java/pathgw/KnownRedTest.java
+++ b/src/test/java/pathgw/KnownRedTest.java
@@ -15,23 +15,23 @@
 
 /** What CI makes of the list of tests that are known to fail. */
 class KnownRedTest {
-  private static final String RED = "pathgw.net.XTest#red, the node forgets, issue 7\n";
+  private static final String RED = "pathgw.server.XTest#red, the node forgets, issue 7\n";
 
   @TempDir Path folder;
 
   private void report(String... cases) throws IOException {
     Files.createDirectories(folder.resolve("reports"));
     Files.writeString(
-        folder.resolve("reports/TEST-pathgw.net.XTest.xml"),
+        folder.resolve("reports/TEST-pathgw.server.XTest.xml"),
         "<testsuite>" + String.join("", cases) + "</testsuite>");
   }
 
   private static String green(String name) {
-    return "<testcase classname='pathgw.net.XTest' name='" + name + "'/>";
+    return "<testcase classname='pathgw.server.XTest' name='" + name + "'/>";
   }
 
   private static String red(String name) {
-    return "<testcase classname='pathgw.net.XTest' name='"
+    return "<testcase classname='pathgw.server.XTest' name='"
         + name
         + "'><failure>no</failure></testcase>";
   }
@@ -60,13 +60,13 @@
     report(green("one"), red("red"));
     assertEquals("0 known-red: passed over: " + RED.trim(), judged(RED, true));
     assertEquals(
-        "1 known-red: failed or was skipped, and is not listed: pathgw.net.XTest#red",
+        "1 known-red: failed or was skipped, and is not listed: pathgw.server.XTest#red",
         judged(null, true));
     report(green("one"), red("two"), red("red"));
     assertEquals(
         "1 known-red: passed over: "
             + RED.trim()
-            + "\nknown-red: failed or was skipped, and is not listed: pathgw.net.XTest#two",
+            + "\nknown-red: failed or was skipped, and is not listed: pathgw.server.XTest#two",
         judged(RED, true));
   }
 
@@ -74,17 +74,20 @@
   void aListedTestThatPassesOrIsNotThereIsToBeStruck() throws Exception {
     report(green("red"));
     assertEquals(
-        "1 known-red: listed, but it passes; strike it: pathgw.net.XTest#red", judged(RED, true));
+        "1 known-red: listed, but it passes; strike it: pathgw.server.XTest#red",
+        judged(RED, true));
     report(green("one"));
     assertEquals(
-        "1 known-red: listed, but there is no such test: pathgw.net.XTest#red", judged(RED, true));
+        "1 known-red: listed, but there is no such test: pathgw.server.XTest#red",
+        judged(RED, true));
   }
 
   @Test
   void skippingIsNoWayRoundIt() throws Exception {
-    report(green("one"), "<testcase classname='pathgw.net.XTest' name='two'><skipped/></testcase>");
+    report(
+        green("one"), "<testcase classname='pathgw.server.XTest' name='two'><skipped/></testcase>");
     assertEquals(
-        "1 known-red: failed or was skipped, and is not listed: pathgw.net.XTest#two",
+        "1 known-red: failed or was skipped, and is not listed: pathgw.server.XTest#two",
         judged("", true));
   }
 
--- a/src/test/java/pathgw/RunScriptTest.java
+++ b/src/test/java/pathgw/RunScriptTest.java
@@ -23,14 +23,14 @@
       Files.writeString(file, config);
     }
     Path out = folder.resolve("out");
-    ProcessBuilder script =
+    ProcessBuilder scenario =
         new ProcessBuilder("/bin/sh", "deploy/run.sh")
             .redirectErrorStream(true)
             .redirectOutput(out.toFile());
-    script.environment().clear();
-    script.environment().put("PATH", folder.toString());
-    script.environment().put("NODE_CONFIG", file.toString());
-    Process process = script.start();
+    scenario.environment().clear();
+    scenario.environment().put("PATH", folder.toString());
+    scenario.environment().put("NODE_CONFIG", file.toString());
+    Process process = scenario.start();
     assertTrue(process.waitFor(20, TimeUnit.SECONDS));
     assertEquals(0, process.exitValue());
     return Files.readString(out, StandardCharsets.UTF_8);
--- a/src/test/java/pathgw/command/CliTest.java
+++ b/src/test/java/pathgw/cli/CliTest.java
@@ -1,4 +1,4 @@
-package pathgw.command;
+package pathgw.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/pathgw/net/ClientConnectionTest.java
+++ b/src/test/java/pathgw/client/ClientConnectionTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,6 +6,8 @@
 
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
+import pathgw.fixture.NetworkFixture;
+import pathgw.transport.FakeConnection;
 
 /** One connection of a client: commands in, responses out in their order. */
 class ClientConnectionTest extends NetworkFixture {
@@ -147,7 +149,7 @@
     assertFalse(client.idleFor(Duration.ofSeconds(2)), "what comes slowly has begun");
   }
 
-  /** 30 accesses of one recorded day were lost so: the loop had been stopped for 252 ms. */
+  /** 30 requests of one recorded day were lost so: the loop had been stopped for 252 ms. */
   @Test
   void whoseCommandMayLieUnreadIsNotClosedAsIdle() {
     nodes("n1");
--- a/src/test/java/pathgw/net/MetaCommandTest.java
+++ b/src/test/java/pathgw/codec/MetaCommandTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.codec;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -7,25 +7,26 @@
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
+import pathgw.fixture.NetworkFixture;
 
 /** What is read from a meta command, and what of it is written to a node. */
 class MetaCommandTest extends NetworkFixture {
   @Test
-  void onlyTheWaitIsWrittenAnew() throws Command.Malformed {
-    Command read = command("mg k1 v Oa1 Pc=read,d=480,zz=5,t=one x\r\n");
+  void onlyTheWaitIsWrittenAnew() throws MetaCommand.Malformed {
+    MetaCommand read = command("mg k1 v Oa1 Pc=read,d=480,zz=5,t=one x\r\n");
     assertEquals(
-        "mg k1 v Oa1 Pc=read,d=77,zz=5,t=one x\r\n", read.toNode(Duration.ofMillis(77)).toString());
-    Command write = command("ms k1 2 Oa1 Pc=write,k=9,d=300").with(Buffer.buffer("hi"));
+        "mg k1 v Oa1 Pc=read,d=77,zz=5,t=one x\r\n", read.encode(Duration.ofMillis(77)).toString());
+    MetaCommand write = command("ms k1 2 Oa1 Pc=write,k=9,d=300").with(Buffer.buffer("hi"));
     assertEquals(
-        "ms k1 2 Oa1 Pc=write,k=9,d=5\r\nhi\r\n", write.toNode(Duration.ofMillis(5)).toString());
+        "ms k1 2 Oa1 Pc=write,k=9,d=5\r\nhi\r\n", write.encode(Duration.ofMillis(5)).toString());
     assertEquals(Duration.ofMillis(300), write.wait);
-    assertEquals(1, write.offering);
+    assertEquals(1, write.requestClass);
     assertTrue(write.write);
   }
 
   /** Both codecs write the labels by one method: what stands around the time does not matter. */
   @Test
-  void theTimeThatIsLeftIsWrittenWhereverTheLabelStands() throws Command.Malformed {
+  void theTimeThatIsLeftIsWrittenWhereverTheLabelStands() throws MetaCommand.Malformed {
     for (String[] form :
         new String[][] {
           {"c=read,d=480,zz=5", "c=read,d=77,zz=5"},
@@ -37,20 +38,20 @@
           {"id=9,c=read,zd=8,x=d=7", "id=9,c=read,zd=8,x=d=7"},
           {"id=9,c=read,zd=8,d=480,x=d=7", "id=9,c=read,zd=8,d=77,x=d=7"}
         }) {
-      Command command = command("mg k1 v Oa1 P" + form[0] + " x");
+      MetaCommand command = command("mg k1 v Oa1 P" + form[0] + " x");
       Duration left = Duration.ofMillis(77);
-      assertEquals("mg k1 v Oa1 P" + form[1] + " x\r\n", command.toNode(left).toString());
-      String head = new HttpWire(ANYWHERE).begin(command, left).toString();
+      assertEquals("mg k1 v Oa1 P" + form[1] + " x\r\n", command.encode(left).toString());
+      String head = new HttpOriginCodec(ANYWHERE).begin(command, left).toString();
       assertTrue(head.contains("\r\nX-Labels: " + form[1] + "\r\n"), head);
     }
     assertEquals("c=read,d=1", command("mg k v Oa Pc=read,d=9").labels(Duration.ZERO));
   }
 
   @Test
-  void aRetryAndTheCustomerAreTakenFromTheLabels() throws Command.Malformed {
+  void aRetryAndTheTenantAreTakenFromTheLabels() throws MetaCommand.Malformed {
     assertTrue(command("mg k v Oa Pc=read,t=one,r=1,d=5").repeat);
-    assertEquals(0, command("mg k v Oa Pc=read,t=one,d=5").customer);
-    assertEquals(1, command("mg k v Oa Pc=read,t=unknown,d=5").customer, "nobody's quota");
+    assertEquals(0, command("mg k v Oa Pc=read,t=one,d=5").tenant);
+    assertEquals(1, command("mg k v Oa Pc=read,t=unknown,d=5").tenant, "nobody's quota");
     assertEquals(Duration.ofMillis(1500), command("mg k v Oa Pc=read").wait);
   }
 
@@ -73,12 +74,12 @@
           "mg k v Oa Pc=read,x=\ny",
           "mg " + "k".repeat(251) + " v Oa Pc=read,d=5"
         }) {
-      assertThrows(Command.Malformed.class, () -> command(line), line);
+      assertThrows(MetaCommand.Malformed.class, () -> command(line), line);
     }
   }
 
   @Test
-  void nobodyWaitsBeyondTheOuterLimit() throws Command.Malformed {
+  void nobodyWaitsBeyondTheDeadline() throws MetaCommand.Malformed {
     assertEquals(Duration.ofMillis(1500), command("mg k v Oa Pc=read,d=3600000").wait);
   }
 }
--- a/src/test/java/pathgw/ColdFleet.java
+++ b/src/test/java/pathgw/decision/ColdStartFleet.java
@@ -1,4 +1,4 @@
-package pathgw;
+package pathgw.decision;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,7 +13,7 @@
  * the stated time, N being what the settings allow it at that moment. {@code main} prints the
  * distribution over many seeds.
  */
-final class ColdFleet {
+final class ColdStartFleet {
   private static final long COLD = 1;
   private static final int NODES = 12;
   private static final int STEP_MS = 20;
@@ -29,14 +29,14 @@
    */
   record Played(double most, int sent) {}
 
-  private ColdFleet() {}
+  private ColdStartFleet() {}
 
   /**
    * Each proxy meets the cold node once at the start, which begins its budget. Then for so long no
    * key is the cold node's, and whatever may be saved is; after that every key is, at all proxies
    * in one moment.
    *
-   * @param capacity accesses a second that each warm node has here, as many as it can bear
+   * @param capacity requests a second that each warm node has here, as many as it can bear
    */
   static Played play(int proxies, double capacity, boolean even, int quietMs, long seed) {
     Random chance = new Random(seed);
@@ -45,12 +45,13 @@
       rates[p] = even ? 1 : 0.2 + 4 * Math.pow(chance.nextDouble(), 3);
     }
     double all = Arrays.stream(rates).sum();
-    List<Bed> beds = new ArrayList<>();
+    List<DecisionEngineFixture> beds = new ArrayList<>();
     for (int p = 0; p < proxies; p++) {
-      Bed bed = Bed.oneOf(proxies, false, chance.nextLong(), List.of());
-      bed.list(LongStream.rangeClosed(0, NODES).toArray());
-      bed.change(COLD, Standing.READY, Duration.ZERO);
-      beds.add(bed);
+      DecisionEngineFixture fixture =
+          DecisionEngineFixture.oneOf(proxies, false, chance.nextLong(), List.of());
+      fixture.list(LongStream.rangeClosed(0, NODES).toArray());
+      fixture.change(COLD, EndpointState.READY, Duration.ZERO);
+      beds.add(fixture);
     }
     List<List<long[]>> out = new ArrayList<>();
     for (int at = 0; at <= COLD_MS / STEP_MS; at++) {
@@ -60,16 +61,16 @@
     long ids = 0;
     for (int step = 0; step * STEP_MS < COLD_MS; step++) {
       int ms = step * STEP_MS;
-      for (Bed bed : beds) {
-        bed.at(ms);
+      for (DecisionEngineFixture fixture : beds) {
+        fixture.at(ms);
       }
       for (long[] answered : out.get(step)) {
-        beds.get((int) answered[0]).outcome(answered[1], 0, How.DELIVERED, ANSWER_MS);
+        beds.get((int) answered[0]).outcome(answered[1], 0, AttemptOutcome.DELIVERED, ANSWER_MS);
       }
       boolean first = step == 0;
       boolean moment = ms >= quietMs && ms < quietMs + STEP_MS;
       for (int p = 0; p < proxies; p++) {
-        Bed bed = beds.get(p);
+        DecisionEngineFixture fixture = beds.get(p);
         double due = rates[p] / all * capacity * NODES * STEP_MS / 1000;
         int come =
             (int) due
@@ -78,24 +79,24 @@
                 + (first ? 1 : 0);
         for (int i = 0; i < come; i++) {
           long id = ++ids;
-          int before = bed.sentTo.size();
-          bed.decide.access(
+          int before = fixture.sentTo.size();
+          fixture.decide.request(
               id,
               0,
               0,
               key(chance, first || ms >= quietMs),
-              Bed.ms(ms + 1000),
+              DecisionEngineFixture.ms(ms + 1000),
               Duration.ZERO,
               false,
               false);
-          bed.pull();
-          if (bed.sentTo.size() > before) {
-            sent[step] += bed.sentTo.get(before) == COLD ? 1 : 0;
+          fixture.pull();
+          if (fixture.sentTo.size() > before) {
+            sent[step] += fixture.sentTo.get(before) == COLD ? 1 : 0;
             out.get(Math.min(out.size() - 1, step + ANSWER_MS / STEP_MS)).add(new long[] {p, id});
           }
-          bed.said.clear();
-          bed.sentTo.clear();
-          bed.mostToSend.clear();
+          fixture.said.clear();
+          fixture.sentTo.clear();
+          fixture.mostToSend.clear();
         }
       }
     }
@@ -121,7 +122,7 @@
       long best = Long.MIN_VALUE;
       long first = 0;
       for (long id = 1; id <= NODES; id++) {
-        long score = Decide.score(new Node(id), text) ^ Long.MIN_VALUE;
+        long score = DecisionEngine.score(new NodeState(id), text) ^ Long.MIN_VALUE;
         if (score > best) {
           best = score;
           first = id;
--- a/src/test/java/pathgw/ColdFleetTest.java
+++ b/src/test/java/pathgw/decision/ColdStartFleetTest.java
@@ -1,18 +1,18 @@
-package pathgw;
+package pathgw.decision;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
 /** The sum of what all proxies send to one cold node, each of them alone with its budget. */
-class ColdFleetTest {
+class ColdStartFleetTest {
   private static final int SEEDS = 3;
 
   private static void keeps(int proxies, boolean even) {
     for (double capacity : new double[] {2, 10, 40}) {
       for (int quietMs : new int[] {0, 4000, 6500}) {
         for (long seed = 0; seed < SEEDS; seed++) {
-          double most = ColdFleet.play(proxies, capacity, even, quietMs, seed).most();
+          double most = ColdStartFleet.play(proxies, capacity, even, quietMs, seed).most();
           assertTrue(
               most <= 1,
               proxies
@@ -51,7 +51,7 @@
 
   @Test
   void withTrafficForItTheColdNodeIsWarmedAllTheSame() {
-    int sent = ColdFleet.play(30, 10, true, 0, 1).sent();
+    int sent = ColdStartFleet.play(30, 10, true, 0, 1).sent();
     assertTrue(sent >= 60, sent + " in its first 8 s, of some 110 that the budget allows");
   }
 }
--- a/src/test/java/pathgw/FirstSecondsTest.java
+++ b/src/test/java/pathgw/decision/FirstSecondsTest.java
@@ -1,4 +1,4 @@
-package pathgw;
+package pathgw.decision;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -22,23 +22,24 @@
   private int refused;
 
   private final class Proxy {
-    private final Bed bed = Bed.ofAClient(1000).list(LongStream.rangeClosed(0, NODES).toArray());
+    private final DecisionEngineFixture fixture =
+        DecisionEngineFixture.ofAClient(1000).list(LongStream.rangeClosed(0, NODES).toArray());
     private final Set<Integer> open = new HashSet<>();
     private final List<Runnable> answers = new ArrayList<>();
     private int heard;
     private int met;
 
     void step(int id, long ms) {
-      bed.at(ms).pull();
+      fixture.at(ms).pull();
       List<Runnable> now = List.copyOf(answers);
       answers.clear();
       now.forEach(Runnable::run);
-      bed.asks(id, 0, 0, id * 7919L);
-      for (int number = 0; met < bed.sentTo.size(); number++) {
-        answer(id, number, bed.sentTo.get(met++).intValue());
+      fixture.asks(id, 0, 0, id * 7919L);
+      for (int number = 0; met < fixture.sentTo.size(); number++) {
+        answer(id, number, fixture.sentTo.get(met++).intValue());
       }
-      for (; heard < bed.said.size(); heard++) {
-        String[] word = bed.said.get(heard).split(" ");
+      for (; heard < fixture.said.size(); heard++) {
+        String[] word = fixture.said.get(heard).split(" ");
         if (word[0].equals("close") && open.remove(Integer.valueOf(word[1]))) {
           taken[Integer.parseInt(word[1])]--;
         }
@@ -49,11 +50,11 @@
       sent++;
       if (!open.contains(node) && taken[node] >= PLACES) {
         refused++;
-        bed.outcome(id, number, How.NO_CONNECTION, 2);
+        fixture.outcome(id, number, AttemptOutcome.NO_CONNECTION, 2);
         return;
       }
       taken[node] += open.add(node) ? 1 : 0;
-      answers.add(() -> bed.outcome(id, number, How.DELIVERED, 90));
+      answers.add(() -> fixture.outcome(id, number, AttemptOutcome.DELIVERED, 90));
     }
   }
 
@@ -71,7 +72,7 @@
     assertTrue(sent > 9_000, sent + " sent");
     assertTrue(refused < 0.1 * sent, refused + " of " + sent + " refused");
     assertTrue(
-        proxies.stream().allMatch(p -> p.bed.count("fetch list") == 0),
+        proxies.stream().allMatch(p -> p.fixture.count("fetch list") == 0),
         "nobody asks the list again");
   }
 }
--- a/src/test/java/pathgw/net/DiscoveryTest.java
+++ b/src/test/java/pathgw/discovery/DiscoveryTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,18 +12,26 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pathgw.Decide;
-import pathgw.Learnt;
-import pathgw.Standing;
+import pathgw.codec.MetaCommand;
 import pathgw.config.Address;
 import pathgw.config.Config;
 import pathgw.config.Json;
 import pathgw.config.TestConfig;
+import pathgw.decision.DecisionEngine;
+import pathgw.decision.EndpointState;
+import pathgw.decision.NodeSnapshot;
+import pathgw.fixture.NetworkFixture;
+import pathgw.observability.RequestObserver;
+import pathgw.request.RequestHandler;
+import pathgw.snapshot.SnapshotFile;
+import pathgw.transport.Connection;
+import pathgw.transport.FakeConnection;
+import pathgw.upstream.UpstreamPools;
 
 /** Watches and polls of the endpoint list, and what each kind of end does to the lease on it. */
 class DiscoveryTest extends NetworkFixture {
   private Discovery discovery() {
-    return new Discovery(this::dial, agenda, desk, links, CONFIG, new Keepsake(), what -> {});
+    return new Discovery(this::dial, timers, driver, pools, CONFIG, new SnapshotFile(), what -> {});
   }
 
   private static Json list(int seq, boolean whole, String health) {
@@ -43,32 +51,32 @@
 
   @Test
   void whatWasLearntIsForgottenAfterTheFirstNewsEvenIfItIsAChange(@TempDir Path folder) {
-    long id = Command.hash("n1");
-    Member n1 = new Member("n1", ANYWHERE, Standing.READY, 0, 0, 0, 0);
+    long id = MetaCommand.hash("n1");
+    Endpoint n1 = new Endpoint("n1", ANYWHERE, EndpointState.READY, 0, 0, 0, 0);
     for (boolean late : new boolean[] {false, true}) {
-      Decide before = new Decide(CONFIG.settings(), 1);
-      before.listBegins(true, false);
-      before.listed(id, Standing.READY, null, 0, 0, 0);
-      before.recall(id, new Learnt(0, 4, 2.9, true));
-      Keepsake.write(folder.resolve("learnt"), before, Map.of(id, n1), 1000);
+      DecisionEngine before = new DecisionEngine(CONFIG.settings(), 1);
+      before.beginEndpointUpdate(true, false);
+      before.updateEndpoint(id, EndpointState.READY, null, 0, 0, 0);
+      before.recall(id, new NodeSnapshot(0, 4, 2.9, true));
+      SnapshotFile.write(folder.resolve("learnt"), before, Map.of(id, n1.startedMs()), 1000);
       start();
       Discovery discovery =
           new Discovery(
               this::dial,
-              agenda,
-              desk,
-              links,
+              timers,
+              driver,
+              pools,
               CONFIG,
-              Keepsake.read(folder.resolve("learnt"), 1000),
+              SnapshotFile.read(folder.resolve("learnt"), 1000),
               what -> {});
       if (late) {
         String nothing = "{\"seq\":1,\"whole\":false,\"hosts\":[]}";
         discovery.take(Json.read(nothing.getBytes(StandardCharsets.UTF_8), "list"), false);
       }
       discovery.take(list(5, false, "ready"), false);
-      boolean[] doubtful = new boolean[1];
-      desk.tell(module -> doubtful[0] = module.learnt(id).doubtful());
-      assertEquals(!late, doubtful[0]);
+      boolean[] suspected = new boolean[1];
+      driver.tell(module -> suspected[0] = module.learnt(id).suspected());
+      assertEquals(!late, suspected[0]);
     }
   }
 
@@ -116,8 +124,8 @@
   @Test
   void aWatchThatMissesALineIsAskedForAnewBeforeItsNewsCountsAsTold() {
     Discovery discovery = discovery();
-    desk.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, node -> {});
-    desk.tell(module -> {});
+    driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, node -> {});
+    driver.tell(module -> {});
     pass(3400);
     assertEquals(1, dialled.size(), "a call may wait for its turn");
     pass(1200);
@@ -145,8 +153,8 @@
   @Test
   void behindASilentWatchNothingGoesToNodesOnceItsNewsMayCountAsTold() {
     Discovery discovery = discovery();
-    desk.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, links::closeIdle);
-    desk.tell(module -> {});
+    driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, pools::closeIdle);
+    driver.tell(module -> {});
     FakeConnection first = dialled.get(0);
     first.gives(BEGINS + chunk(5, true, "ready"));
     for (int ms = 0; ms < 5900; ms += 10) {
@@ -159,18 +167,18 @@
     int calls = dialled.size() - 1;
     assertTrue(calls >= 4 && calls <= 8, calls + " calls inside the clock, by one proxy");
     asks();
-    assertEquals(1, handOffs());
+    assertEquals(1, attempts());
     pass(110);
     asks();
     asks();
-    assertEquals(1, handOffs(), "a quarter of the fleet may have left");
+    assertEquals(1, attempts(), "a quarter of the fleet may have left");
     first.gives("1\r\n\n\r\n");
     asks();
-    assertEquals(1, handOffs(), "a watch that was silent is broken");
+    assertEquals(1, attempts(), "a watch that was silent is broken");
     discovery.watch();
     dialled.get(dialled.size() - 1).gives(BEGINS + chunk(5, false, "ready"));
     asks();
-    assertEquals(2, handOffs(), "whole at once");
+    assertEquals(2, attempts(), "whole at once");
   }
 
   /**
@@ -180,8 +188,8 @@
   @Test
   void howeverOftenAskedAServiceThatFailsDoesNotMakeTheListHoldForLonger() {
     Discovery discovery = discovery();
-    desk.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, links::closeIdle);
-    desk.tell(module -> {});
+    driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, pools::closeIdle);
+    driver.tell(module -> {});
     dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
     asks();
     pass(1500);
@@ -194,14 +202,14 @@
           .forEach(FakeConnection::breaks);
     }
     asks();
-    assertEquals(2, handOffs(), "until 6 s after the line");
+    assertEquals(2, attempts(), "until 6 s after the line");
     pass(110);
     asks();
-    assertEquals(2, handOffs());
+    assertEquals(2, attempts());
     discovery.watch();
     dialled.get(dialled.size() - 1).gives(BEGINS + chunk(5, false, "ready"));
     asks();
-    assertEquals(3, handOffs(), "whole at once");
+    assertEquals(3, attempts(), "whole at once");
   }
 
   /**
@@ -214,13 +222,13 @@
         Config.read(
             TestConfig.json().replace("\"ask\"", "\"push\"").getBytes(StandardCharsets.UTF_8));
     Discovery discovery =
-        new Discovery(this::dial, agenda, desk, links, pushed, new Keepsake(), what -> {});
-    desk.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, links::closeIdle);
-    discovery.prove();
+        new Discovery(this::dial, timers, driver, pools, pushed, new SnapshotFile(), what -> {});
+    driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, pools::closeIdle);
+    discovery.renewLease();
     dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
     dialled.get(0).breaks();
     asks();
-    assertEquals(0, handOffs(), "with no watch all that is there counts");
+    assertEquals(0, attempts(), "with no watch all that is there counts");
     for (int asked = 1; asked < 8; asked++) {
       pass(470);
       assertTrue(
@@ -231,7 +239,7 @@
     }
     dialled.get(dialled.size() - 1).gives(BEGINS + chunk(5, false, "ready"));
     asks();
-    assertEquals(1, handOffs());
+    assertEquals(1, attempts());
   }
 
   /**
@@ -249,7 +257,7 @@
             "list"),
         false);
     asks();
-    assertEquals(0, handOffs(), "leaves by its second entry");
+    assertEquals(0, attempts(), "leaves by its second entry");
     String gone = text(6, false, "gone").replace("]}", "");
     discovery.take(
         Json.read(
@@ -258,7 +266,7 @@
             "list"),
         false);
     asks();
-    assertEquals(1, handOffs());
+    assertEquals(1, attempts());
     FakeConnection first = dialled.get(0);
     discovery.take(
         Json.read(
@@ -268,7 +276,7 @@
             "list"),
         false);
     asks();
-    assertEquals(2, handOffs());
+    assertEquals(2, attempts());
     assertEquals(1, first.timesWritten, "started anew it is met over a connection of its own");
   }
 
@@ -276,18 +284,19 @@
   void whatWaitsForAConnectionToANodeThatLeavesIsTakenBack() {
     for (String health : List.of("draining", "gone")) {
       start();
-      List<Promise<Pipe>> comingUp = new ArrayList<>();
-      links =
-          new Links(
+      List<Promise<Connection>> connecting = new ArrayList<>();
+      pools =
+          new UpstreamPools(
               to -> {
-                comingUp.add(Promise.promise());
-                return comingUp.get(comingUp.size() - 1).future();
+                connecting.add(Promise.promise());
+                return connecting.get(connecting.size() - 1).future();
               },
               this::dial,
-              agenda,
+              timers,
               CONFIG,
               8);
-      life = new Life(agenda, desk, links, CONFIG.answerSlack(), Watcher.NONE);
+      requestHandler =
+          new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), RequestObserver.NONE);
       Discovery discovery = discovery();
       discovery.take(list(5, true, "ready"), false);
       FakeConnection asked = client();
@@ -296,7 +305,7 @@
       assertTrue(
           asked.written.toString().startsWith("SERVER_ERROR busy"), "no other node: told at once");
       FakeConnection up = new FakeConnection();
-      comingUp.get(0).complete(up);
+      connecting.get(0).complete(up);
       assertEquals("", up.written.toString(), health);
     }
   }
--- a/src/test/java/pathgw/net/ListCallTest.java
+++ b/src/test/java/pathgw/discovery/EndpointListCallTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,15 +7,16 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import pathgw.config.Address;
+import pathgw.transport.FakeConnection;
 
-/** A call to the node list, whose answer the test writes byte by byte. */
-class ListCallTest {
+/** A call to the endpoint list, whose answer the test writes byte by byte. */
+class EndpointListCallTest {
   private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
   private final List<String> heard = new ArrayList<>();
   private final FakeConnection list = new FakeConnection();
-  private final ListCall call =
-      new ListCall(line -> heard.add(line.toString()), end -> heard.add("! " + end));
+  private final EndpointListCall call =
+      new EndpointListCall(line -> heard.add(line.toString()), end -> heard.add("! " + end));
 
   private List<String> answer(String bytes) {
     call.start(list, new Address("127.0.0.1", 1), "/x");
--- a/src/test/java/pathgw/net/ProofTest.java
+++ b/src/test/java/pathgw/discovery/EndpointListLeaseTest.java
@@ -1,16 +1,16 @@
-package pathgw.net;
+package pathgw.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
-/** Until when the node list holds, for each way in which it may cease to be heard. */
-class ProofTest {
+/** Until when the endpoint list holds, for each way in which it may cease to be heard. */
+class EndpointListLeaseTest {
   private static final Duration ASK = at(10);
 
-  private final Proof asked = new Proof(false, ASK);
-  private final Proof pushed = new Proof(true, ASK);
+  private final EndpointListLease asked = new EndpointListLease(false, ASK);
+  private final EndpointListLease pushed = new EndpointListLease(true, ASK);
 
   private static Duration at(long seconds) {
     return Duration.ofSeconds(seconds);
@@ -41,7 +41,7 @@
 
   @Test
   void aShorterTimeForAskingCountsFromTheEndOfTheWatch() {
-    Proof shorter = new Proof(false, at(2));
+    EndpointListLease shorter = new EndpointListLease(false, at(2));
     shorter.spoke(at(1));
     shorter.ended(at(3));
     assertEquals(at(5), shorter.until());
--- a/src/test/java/pathgw/net/DecisionDriverTest.java
+++ b/src/test/java/pathgw/driver/DecisionDriverTest.java
@@ -1,19 +1,20 @@
-package pathgw.net;
+package pathgw.driver;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathgw.fixture.NetworkFixture;
 
 /** The order in which the decision module gets its inputs. */
 class DecisionDriverTest extends NetworkFixture {
   @Test
   void anInputThatADecisionBringsWaitsForItsTurn() {
     List<String> order = new ArrayList<>();
-    desk.tell(
+    driver.tell(
         module -> {
-          desk.tell(later -> order.add("second"));
+          driver.tell(later -> order.add("second"));
           order.add("first");
         });
     assertEquals(List.of("first", "second"), order);
--- a/src/test/java/pathgw/net/CountersTest.java
+++ b/src/test/java/pathgw/observability/CountersTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.observability;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -6,6 +6,9 @@
 import java.util.List;
 import java.util.ResourceBundle;
 import org.junit.jupiter.api.Test;
+import pathgw.fixture.NetworkFixture;
+import pathgw.request.RequestHandler;
+import pathgw.upstream.UpstreamPools;
 
 /** The summary line that is logged every ten seconds. */
 class CountersTest extends NetworkFixture {
@@ -34,13 +37,14 @@
   @Test
   void onceAPeriodOneLineTellsWhatWasDone() {
     List<String> lines = new ArrayList<>();
-    Counters counters = new Counters(new ListeningLogger(lines), agenda, Watcher.NONE);
-    life = new Life(agenda, desk, links, CONFIG.answerSlack(), counters);
-    links =
-        new Links(counters.dials("node-connections", this::dial), this::dial, agenda, CONFIG, 8);
+    Counters counters = new Counters(new ListeningLogger(lines), timers, RequestObserver.NONE);
+    requestHandler = new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), counters);
+    pools =
+        new UpstreamPools(
+            counters.dials("node-connections", this::dial), this::dial, timers, CONFIG, 8);
     client().gives(READ);
     nodes("n1");
-    life = new Life(agenda, desk, links, CONFIG.answerSlack(), counters);
+    requestHandler = new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), counters);
     client().gives("mg k1 v Oa2 Pc=read,t=one,d=480\r\n");
     dialled.get(0).gives("VA 2 Oa2\r\nhi\r\n");
     pass(20_100);
--- a/src/test/java/pathgw/net/LogLineTest.java
+++ b/src/test/java/pathgw/observability/LogLineFormatterTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.observability;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,7 +8,7 @@
 import java.util.logging.LogRecord;
 import org.junit.jupiter.api.Test;
 
-class LogLineTest {
+class LogLineFormatterTest {
   @Test
   void aLineHasTimeLevelLoggerAndMessageAndAFaultItsTrace() {
     LogRecord told = new LogRecord(Level.WARNING, "stood still for 52 ms");
@@ -16,9 +16,11 @@
     told.setInstant(Instant.parse("2026-02-03T04:05:06.007Z"));
     assertEquals(
         "2026-02-03T04:05:06.007Z WARNING a.Logger stood still for 52 ms\n",
-        new LogLine().format(told));
+        new LogLineFormatter().format(told));
     told.setThrown(new IllegalStateException("why"));
     assertTrue(
-        new LogLine().format(told).contains("\njava.lang.IllegalStateException: why\n\tat "));
+        new LogLineFormatter()
+            .format(told)
+            .contains("\njava.lang.IllegalStateException: why\n\tat "));
   }
 }
--- a/src/test/java/pathgw/net/RequestHandlerTest.java
+++ b/src/test/java/pathgw/request/RequestHandlerTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.request;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,9 +10,16 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pathgw.Decide;
+import pathgw.codec.MetaCommand;
 import pathgw.config.Config;
 import pathgw.config.TestConfig;
+import pathgw.decision.DecisionEngine;
+import pathgw.driver.DecisionDriver;
+import pathgw.fixture.NetworkFixture;
+import pathgw.observability.RequestObserver;
+import pathgw.transport.Connection;
+import pathgw.transport.FakeConnection;
+import pathgw.upstream.UpstreamPools;
 
 /** One request from its arrival to its one response. */
 class RequestHandlerTest extends NetworkFixture {
@@ -30,11 +37,11 @@
   }
 
   @Test
-  void withoutAnyNodeAnAccessIsDenied() {
+  void withoutAnyNodeARequestIsDenied() {
     FakeConnection client = client();
     client.gives(READ);
     assertEquals("SERVER_ERROR busy 1500\r\n", client.written.toString());
-    assertEquals(0, desk.open());
+    assertEquals(0, driver.open());
   }
 
   @Test
@@ -45,11 +52,11 @@
     client.breaks();
     assertTrue(dialled.get(0).closed, "what is out is taken back");
     assertEquals(1, dialled.size());
-    assertEquals(0, desk.open());
+    assertEquals(0, driver.open());
   }
 
   @Test
-  void aNodeThatBreaksLeavesTheAccessToTheNext() {
+  void aNodeThatBreaksLeavesTheRequestToTheNext() {
     nodes("n1", "n2");
     FakeConnection client = client();
     client.gives(READ);
@@ -63,7 +70,7 @@
   void whatLayUnreadThroughAPauseIsDueEarlier() {
     nodes("n1");
     nanos = Duration.ofMillis(100).toNanos();
-    agenda.in(Duration.ofMillis(1), () -> {});
+    timers.in(Duration.ofMillis(1), () -> {});
     nanos = Duration.ofMillis(700).toNanos();
     FakeConnection client = client();
     client.gives(READ);
@@ -84,13 +91,13 @@
   }
 
   @Test
-  void aModuleThatForgetsAnAccessStillLeavesAnAnswer() throws Command.Malformed {
+  void aModuleThatForgetsARequestStillLeavesAnAnswer() throws MetaCommand.Malformed {
     ArrayDeque<Buffer> answers = new ArrayDeque<>();
-    Exchange[] exchange = new Exchange[1];
-    exchange[0] = new Exchange(() -> answers.add(exchange[0].answer()));
+    PendingResponse[] response = new PendingResponse[1];
+    response[0] = new PendingResponse(() -> answers.add(response[0].answer()));
     nodes("n1");
-    life.live(command(READ), exchange[0]);
-    desk.tell(module -> module.lapsed(1));
+    requestHandler.live(command(READ), response[0]);
+    driver.tell(module -> module.lapsed(1));
     after(480 + 25);
     assertEquals(
         List.of("SERVER_ERROR failed\r\n"), answers.stream().map(Buffer::toString).toList());
@@ -104,18 +111,19 @@
             TestConfig.json()
                 .replace("\"cancel\": true", "\"cancel\": false")
                 .getBytes(StandardCharsets.UTF_8));
-    desk = new Desk(agenda, new Decide(uncancelled.settings(), 1));
-    desk.reaches(() -> {}, () -> {}, (node, success) -> {}, links::closeIdle);
-    Promise<Pipe> comingUp = Promise.promise();
-    links = new Links(to -> comingUp.future(), this::dial, agenda, CONFIG, 8);
-    life = new Life(agenda, desk, links, CONFIG.answerSlack(), Watcher.NONE);
+    driver = new DecisionDriver(timers, new DecisionEngine(uncancelled.settings(), 1));
+    driver.reaches(() -> {}, () -> {}, (node, success) -> {}, pools::closeIdle);
+    Promise<Connection> connecting = Promise.promise();
+    pools = new UpstreamPools(to -> connecting.future(), this::dial, timers, CONFIG, 8);
+    requestHandler =
+        new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), RequestObserver.NONE);
     nodes("n1");
     FakeConnection gone = client();
     gone.gives(READ);
     gone.ends();
     FakeConnection up = new FakeConnection();
-    comingUp.complete(up);
+    connecting.complete(up);
     assertEquals("", up.written.toString());
-    assertEquals(0, desk.open());
+    assertEquals(0, driver.open());
   }
 }
--- a/src/test/java/pathgw/net/Cost.java
+++ b/src/test/java/pathgw/server/DecisionCostBenchmark.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
@@ -9,31 +9,38 @@
 import java.util.Locale;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import pathgw.Decide;
-import pathgw.How;
+import pathgw.codec.JsonObjectReader;
 import pathgw.config.Config;
 import pathgw.config.Json;
 import pathgw.config.TestConfig;
+import pathgw.decision.AttemptOutcome;
+import pathgw.decision.DecisionEngine;
+import pathgw.discovery.Discovery;
+import pathgw.discovery.EndpointListCall;
+import pathgw.driver.DecisionDriver;
+import pathgw.snapshot.SnapshotFile;
+import pathgw.transport.EventLoopTimers;
+import pathgw.upstream.UpstreamPools;
 
 /**
- * What an access and a whole list cost, by the number of nodes. No test: it prints what
+ * What a request and a whole list cost, by the number of nodes. No test: it prints what
  * docs/results.md says, under the flags that proxies run with ({@code -XX:TieredStopAtLevel=1
  * -XX:+UseSerialGC -Xmx34m}).
  */
-final class Cost {
+final class DecisionCostBenchmark {
   private static final Config CONFIG =
       Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8));
-  private static final int ACCESSES = 3000;
+  private static final int REQUESTS = 3000;
   private static final int LISTS = 40;
 
-  private Cost() {}
+  private DecisionCostBenchmark() {}
 
   public static void main(String[] args) {
     for (int nodes : new int[] {12, 300, 1024}) {
       String list = list(nodes);
       lists(nodes, list);
       for (int round = 0; round < 3; round++) {
-        accesses(nodes, list);
+        requests(nodes, list);
       }
     }
   }
@@ -56,27 +63,35 @@
         + "\n  ]\n}\n";
   }
 
-  private static Discovery discovery(Agenda agenda, Desk desk, Links links) {
-    desk.reaches(() -> {}, () -> {}, (node, success) -> {}, links::closeIdle);
+  private static Discovery discovery(
+      EventLoopTimers timers, DecisionDriver driver, UpstreamPools pools) {
+    driver.reaches(() -> {}, () -> {}, (node, success) -> {}, pools::closeIdle);
     return new Discovery(
-        to -> Future.failedFuture("none"), agenda, desk, links, CONFIG, new Keepsake(), what -> {});
+        to -> Future.failedFuture("none"),
+        timers,
+        driver,
+        pools,
+        CONFIG,
+        new SnapshotFile(),
+        what -> {});
   }
 
   private static void lists(int nodes, String text) {
-    Agenda agenda = new Agenda(System::nanoTime, 0, (span, what) -> () -> {});
-    Desk desk = new Desk(agenda, new Decide(CONFIG.settings(), 1));
-    Links links =
-        new Links(
+    EventLoopTimers timers = new EventLoopTimers(System::nanoTime, 0, (span, what) -> () -> {});
+    DecisionDriver driver = new DecisionDriver(timers, new DecisionEngine(CONFIG.settings(), 1));
+    UpstreamPools pools =
+        new UpstreamPools(
             to -> Future.failedFuture("none"),
             to -> Future.failedFuture("none"),
-            agenda,
+            timers,
             CONFIG,
             100);
-    Discovery discovery = discovery(agenda, desk, links);
+    Discovery discovery = discovery(timers, driver, pools);
     for (int time = 1; time <= LISTS; time++) {
       long began = System.nanoTime();
       List<Buffer> whole = new ArrayList<>();
-      JsonLines lines = new JsonLines(ListCall.LONGEST_BODY, whole::add, () -> {});
+      JsonObjectReader lines =
+          new JsonObjectReader(EndpointListCall.LONGEST_BODY, whole::add, () -> {});
       text.lines().forEach(line -> lines.take(Buffer.buffer(line)));
       discovery.take(Json.read(whole.get(0).getBytes(), "list"), false);
       if (time == 1 || time == LISTS) {
@@ -92,52 +107,52 @@
   }
 
   /** Each answered at once by the node that it goes to. */
-  private static void accesses(int nodes, String text) {
+  private static void requests(int nodes, String text) {
     long[] now = {0};
-    Agenda agenda = new Agenda(() -> now[0], 0, (span, what) -> () -> {});
-    Desk desk = new Desk(agenda, new Decide(CONFIG.settings(), 1));
-    Links links =
-        new Links(
+    EventLoopTimers timers = new EventLoopTimers(() -> now[0], 0, (span, what) -> () -> {});
+    DecisionDriver driver = new DecisionDriver(timers, new DecisionEngine(CONFIG.settings(), 1));
+    UpstreamPools pools =
+        new UpstreamPools(
             to -> Future.failedFuture("none"),
             to -> Future.failedFuture("none"),
-            agenda,
+            timers,
             CONFIG,
             100);
-    discovery(agenda, desk, links)
+    discovery(timers, driver, pools)
         .take(Json.read(text.getBytes(StandardCharsets.UTF_8), "list"), false);
     long began = System.nanoTime();
-    for (int i = 0; i < ACCESSES; i++) {
+    for (int i = 0; i < REQUESTS; i++) {
       now[0] += 20_000_000;
       int key = i * 7919 % 5000 + 1;
       boolean[] over = {false};
       long id =
-          desk.open(
-              new Desk.Course() {
+          driver.open(
+              new DecisionDriver.RequestActions() {
                 @Override
-                public void handOff(Duration patience, Duration sendWithin, long node) {
+                public void attempt(Duration patience, Duration sendWithin, long node) {
                   over[0] = true;
                 }
 
                 @Override
-                public void withdraw(int handOff) {}
+                public void cancel(int attempt) {}
 
                 @Override
-                public void deny(Duration comeBack) {}
+                public void reject(Duration retryAfter) {}
 
                 @Override
-                public void writeOff() {}
+                public void fail() {}
               });
-      Duration due = agenda.now().plusMillis(900);
-      desk.tell(m -> m.access(id, 0, 0, key, due, Duration.ZERO, false, false));
+      Duration due = timers.now().plusMillis(900);
+      driver.tell(m -> m.request(id, 0, 0, key, due, Duration.ZERO, false, false));
       if (over[0]) {
-        desk.tell(m -> m.outcome(id, 0, How.DELIVERED, Duration.ofMillis(5), true));
+        driver.tell(m -> m.outcome(id, 0, AttemptOutcome.DELIVERED, Duration.ofMillis(5), true));
       }
-      desk.close(id);
+      driver.close(id);
     }
     System.out.printf(
         Locale.ROOT,
         "%d nodes, an access with its outcome: %.0f us%n",
         nodes,
-        (System.nanoTime() - began) / 1e3 / ACCESSES);
+        (System.nanoTime() - began) / 1e3 / REQUESTS);
   }
 }
--- a/src/test/java/pathgw/net/SizeTest.java
+++ b/src/test/java/pathgw/server/FleetSizeTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,13 +11,26 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import pathgw.Decide;
+import pathgw.client.ClientConnection;
+import pathgw.codec.MetaCommand;
 import pathgw.config.Address;
 import pathgw.config.Config;
 import pathgw.config.TestConfig;
+import pathgw.decision.DecisionEngine;
+import pathgw.discovery.Discovery;
+import pathgw.driver.DecisionDriver;
+import pathgw.gossip.Gossip;
+import pathgw.observability.RateLimitedLog;
+import pathgw.observability.RequestObserver;
+import pathgw.request.RequestHandler;
+import pathgw.snapshot.SnapshotFile;
+import pathgw.transport.Connection;
+import pathgw.transport.EventLoopTimers;
+import pathgw.transport.FakeConnection;
+import pathgw.upstream.UpstreamPools;
 
 /** A thousand proxies before a thousand cache nodes, as one of them sees it. */
-class SizeTest {
+class FleetSizeTest {
   private static final int MANY = 1024;
 
   /** The longest that a name on a network may be. */
@@ -53,10 +66,10 @@
         + "\n  ]\n}\n";
   }
 
-  private final HeldOutside outside = new HeldOutside();
+  private final ManualTransport transport = new ManualTransport();
 
-  private Future<Pipe> dial(Address to) {
-    return outside.dial(to, Duration.ZERO);
+  private Future<Connection> dial(Address to) {
+    return transport.dial(to, Duration.ZERO);
   }
 
   @Test
@@ -80,15 +93,16 @@
                 .getBytes(StandardCharsets.UTF_8));
     assertEquals(MANY, config.peers().size());
     assertEquals(MANY, config.settings().proxies());
-    Agenda agenda = new Agenda(outside::nanos, outside.unixMillis(), outside::after);
-    Desk desk = new Desk(agenda, new Decide(config.settings(), 1));
-    Links links = new Links(this::dial, this::dial, agenda, config, 400);
+    EventLoopTimers timers =
+        new EventLoopTimers(transport::nanos, transport.unixMillis(), transport::after);
+    DecisionDriver driver = new DecisionDriver(timers, new DecisionEngine(config.settings(), 1));
+    UpstreamPools pools = new UpstreamPools(this::dial, this::dial, timers, config, 400);
     Discovery discovery =
-        new Discovery(this::dial, agenda, desk, links, config, new Keepsake(), what -> {});
-    Peers others = new Peers(outside, desk, config);
-    desk.reaches(discovery::watch, discovery::fetch, others::tell, links::closeIdle);
+        new Discovery(this::dial, timers, driver, pools, config, new SnapshotFile(), what -> {});
+    Gossip others = new Gossip(transport, driver, config);
+    driver.reaches(discovery::watch, discovery::fetch, others::tell, pools::closeIdle);
     discovery.take(config.known().get(), true);
-    assertEquals(MANY, links.members().size());
+    assertEquals(MANY, pools.startTimes().size());
 
     String whole = list(2, "ready");
     assertTrue(whole.length() > 1 << 20, whole.length() + " bytes");
@@ -100,31 +114,32 @@
             + whole
             + "\r\n";
     for (int at = 0; at < answer.length(); at += 16_384) {
-      outside.dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
+      transport.dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
     }
-    Life life = new Life(agenda, desk, links, config.answerSlack(), Watcher.NONE);
-    RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), agenda);
+    RequestHandler requestHandler =
+        new RequestHandler(timers, driver, pools, config.answerSlack(), RequestObserver.NONE);
+    RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), timers);
     for (int i = 0; i < 200; i++) {
       FakeConnection asks = new FakeConnection();
-      new Client(asks, config, agenda, life, limitedLog, c -> {});
+      new ClientConnection(asks, config, timers, requestHandler, limitedLog, c -> {});
       asks.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
     }
     long nodes =
-        outside.dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
+        transport.dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
     assertTrue(nodes > 150, nodes + " nodes of a thousand have 200 keys");
 
-    long first = Command.hash(host(0));
-    String[] doubtful = new String[2];
+    long first = MetaCommand.hash(host(0));
+    String[] suspected = new String[2];
     Buffer failed = Buffer.buffer().appendLong(first).appendByte((byte) 0);
     for (int i = 0; i < 8; i++) {
-      outside.heard.accept(failed, new Address("10.8.0.1", 7946));
+      transport.heard.accept(failed, new Address("10.8.0.1", 7946));
     }
-    desk.tell(module -> doubtful[0] = "" + module.learnt(first).doubtful());
+    driver.tell(module -> suspected[0] = "" + module.learnt(first).suspected());
     for (int i = 0; i < 8; i++) {
-      outside.heard.accept(failed, new Address("10.9.4.23", 7946));
+      transport.heard.accept(failed, new Address("10.9.4.23", 7946));
     }
-    desk.tell(module -> doubtful[1] = "" + module.learnt(first).doubtful());
+    driver.tell(module -> suspected[1] = "" + module.learnt(first).suspected());
     assertEquals(
-        List.of("false", "true"), List.of(doubtful), "the last of the peers, and no stranger");
+        List.of("false", "true"), List.of(suspected), "the last of the peers, and no stranger");
   }
 }
--- a/src/test/java/pathgw/net/HeldOutside.java
+++ b/src/test/java/pathgw/server/ManualTransport.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
@@ -8,15 +8,18 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import pathgw.config.Address;
+import pathgw.transport.Connection;
+import pathgw.transport.FakeConnection;
+import pathgw.transport.Transport;
 
 /**
  * A world that the test holds: time passes when it says so, connections and datagrams come from it.
  */
-final class HeldOutside implements Outside {
+final class ManualTransport implements Transport {
   private record Timer(long at, Runnable what) {}
 
   final List<FakeConnection> dialled = new ArrayList<>();
-  Consumer<Pipe> arrives;
+  Consumer<Connection> arrives;
   BiConsumer<Buffer, Address> heard;
   private final List<Timer> timers = new ArrayList<>();
   private long nanos;
@@ -50,14 +53,14 @@
   }
 
   @Override
-  public Future<Pipe> dial(Address to, Duration within) {
+  public Future<Connection> dial(Address to, Duration within) {
     FakeConnection socket = new FakeConnection();
     dialled.add(socket);
     return Future.succeededFuture(socket);
   }
 
   @Override
-  public Future<Integer> listen(Address at, Consumer<Pipe> arrived) {
+  public Future<Integer> listen(Address at, Consumer<Connection> arrived) {
     arrives = arrived;
     return Future.succeededFuture(at.port());
   }
--- a/src/test/java/pathgw/net/ProcessIT.java
+++ b/src/test/java/pathgw/server/ProcessIT.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -20,8 +20,8 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import pathgw.config.TestConfig;
-import pathgw.net.RawWorld.Door;
-import pathgw.net.RawWorld.Peer;
+import pathgw.server.SocketFixture.Door;
+import pathgw.server.SocketFixture.Peer;
 
 /** The packaged program in a process of its own, with real signals and real limits. */
 @Timeout(60)
@@ -60,7 +60,7 @@
       peer.line();
       String line =
           "{\"seq\":1,\"whole\":true,\"hosts\":["
-              + RawWorld.entry("n1", node.port(), "std")
+              + SocketFixture.entry("n1", node.port(), "std")
               + "]}\n";
       peer.sends(
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -94,7 +94,7 @@
                 "-c",
                 "ulimit -n 256; exec java -Xmx48m"
                     + " -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Djava.library.path=target/native"
-                    + " -Djava.util.logging.manager=pathgw.net.LastingLogs -jar target/pathgw.jar serve")
+                    + " -Djava.util.logging.manager=pathgw.observability.ShutdownSafeLogManager -jar target/pathgw.jar serve")
             .redirectErrorStream(true)
             .redirectOutput(folder.resolve("log").toFile());
     program.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
@@ -134,7 +134,7 @@
   /** A read that the node has, once the program knows the list. */
   private Peer carries(Peer client, String id) throws Exception {
     for (int i = 0; i < 1000; i++) {
-      client.sends(RawWorld.read(id + i));
+      client.sends(SocketFixture.read(id + i));
       for (int waits = 0;
           waits < 1000 && client.socket.getInputStream().available() == 0;
           waits++) {
@@ -154,7 +154,7 @@
     for (int i = 0; i < 100; i++) {
       try (Socket socket = client().socket) {
         Peer client = new Peer(socket);
-        client.sends(RawWorld.read(id));
+        client.sends(SocketFixture.read(id));
         Peer at = null;
         long until = System.nanoTime() + 3_000_000_000L;
         while (at == null
@@ -165,7 +165,7 @@
         }
         if (at != null) {
           at.line();
-          at.sends(RawWorld.value(id));
+          at.sends(SocketFixture.value(id));
           return client.line() + client.line();
         }
       } catch (IOException turnedAway) {
@@ -188,7 +188,7 @@
     Peer client = client();
     signal("STOP");
     assertFalse(log().contains("serves on"), "it was to be caught before it serves");
-    client.sends(RawWorld.read("a1"));
+    client.sends(SocketFixture.read("a1"));
     signal("TERM");
     signal("CONT");
     assertTrue(client.line().endsWith("\n"), "neither dropped nor left");
@@ -207,8 +207,8 @@
     awaits("stops:");
     signal("TERM");
     signal("HUP");
-    at.sends(RawWorld.value(id));
-    assertEquals(RawWorld.value(id), client.line() + client.line());
+    at.sends(SocketFixture.value(id));
+    assertEquals(SocketFixture.value(id), client.line() + client.line());
     assertEquals("", client.line(), "an end, not a reset");
     client.socket.close();
     ended();
@@ -259,7 +259,7 @@
       back.setSoTimeout(10_000);
       Peer call = new Peer(back.accept());
       tell(call);
-      assertEquals(RawWorld.value("b"), served("b"));
+      assertEquals(SocketFixture.value("b"), served("b"));
     }
     assertTrue(process.isAlive());
     for (Socket socket : idle) {
--- a/src/test/java/pathgw/net/StopTest.java
+++ b/src/test/java/pathgw/server/ShutdownTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,12 +8,13 @@
 import org.junit.jupiter.api.Test;
 import pathgw.config.Config;
 import pathgw.config.TestConfig;
+import pathgw.transport.FakeConnection;
 
 /** A proxy that has been told to end. */
-class StopTest {
-  private final HeldOutside outside = new HeldOutside();
-  private final Proxy proxy =
-      new Proxy(outside, Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)), 0);
+class ShutdownTest {
+  private final ManualTransport outside = new ManualTransport();
+  private final ProxyServer proxy =
+      new ProxyServer(outside, Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)), 0);
 
   @Test
   void toldBeforeItsStartItEndsAtOnce() {
--- a/src/test/java/pathgw/net/SighupHandlerTest.java
+++ b/src/test/java/pathgw/server/SighupHandlerTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/pathgw/net/RawWorld.java
+++ b/src/test/java/pathgw/server/SocketFixture.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -19,12 +19,15 @@
 import pathgw.config.Address;
 import pathgw.config.Config;
 import pathgw.config.TestConfig;
+import pathgw.transport.Connection;
+import pathgw.transport.Transport;
+import pathgw.transport.VertxTransport;
 
 /**
  * One proxy on real sockets between raw peers that the test holds byte by byte. Its loop can be
  * held: what the peers do meanwhile lies at the machine, all of it, when the loop goes on.
  */
-final class RawWorld implements AutoCloseable {
+final class SocketFixture implements AutoCloseable {
   static final int PATIENCE_MS = 5000;
 
   /** One end of a connection, in the test's hands. */
@@ -113,21 +116,21 @@
     }
   }
 
-  final Vertx vertx = VertxOutside.vertx();
+  final Vertx vertx = VertxTransport.vertx();
   final Context loop = vertx.getOrCreateContext();
   final Door node = new Door(peer -> {});
   final Door origin = new Door(peer -> {});
   final Door list = new Door(peer -> tellList(peer));
   final Config config;
-  final Proxy proxy;
+  final ProxyServer proxy;
   final int port;
   private int ids;
 
-  RawWorld() throws Exception {
+  SocketFixture() throws Exception {
     this(outside -> outside, text -> text);
   }
 
-  RawWorld(UnaryOperator<Outside> seam, UnaryOperator<String> changes) throws Exception {
+  SocketFixture(UnaryOperator<Transport> seam, UnaryOperator<String> changes) throws Exception {
     config =
         Config.read(
             changes
@@ -137,7 +140,7 @@
                             "\"discovery\": \"127.0.0.1:1\"",
                             "\"discovery\": \"127.0.0.1:" + list.port() + "\""))
                 .getBytes(StandardCharsets.UTF_8));
-    proxy = new Proxy(seam.apply(new VertxOutside(vertx)), config, 0);
+    proxy = new ProxyServer(seam.apply(new VertxTransport(vertx)), config, 0);
     Promise<Integer> started = Promise.promise();
     loop.runOnContext(now -> proxy.start().onComplete(started));
     port = done(started.future());
@@ -207,7 +210,7 @@
   }
 
   /** Waits until the proxy has read the list. */
-  RawWorld knows() throws Exception {
+  SocketFixture knows() throws Exception {
     Peer client = client();
     while (true) {
       String id = id();
@@ -305,15 +308,15 @@
   }
 
   /** A seam that lets a connection to one address come up only when the test says so. */
-  static final class LateDials implements Outside {
-    private final Outside world;
+  static final class LateDials implements Transport {
+    private final Transport world;
 
     /** Where connections come up late from now on. */
     volatile int port;
 
     final LinkedBlockingQueue<Runnable> waiting = new LinkedBlockingQueue<>();
 
-    LateDials(Outside world) {
+    LateDials(Transport world) {
       this.world = world;
     }
 
@@ -333,17 +336,17 @@
     }
 
     @Override
-    public Future<Pipe> dial(Address to, Duration within) {
+    public Future<Connection> dial(Address to, Duration within) {
       if (to.port() != port) {
         return world.dial(to, within);
       }
-      Promise<Pipe> up = Promise.promise();
+      Promise<Connection> up = Promise.promise();
       waiting.add(() -> world.dial(to, within).onComplete(up));
       return up.future();
     }
 
     @Override
-    public Future<Integer> listen(Address at, Consumer<Pipe> arrived) {
+    public Future<Integer> listen(Address at, Consumer<Connection> arrived) {
       return world.listen(at, arrived);
     }
 
