--- a/src/test/java/pathgw/net/CrossingTest.java
+++ b/src/test/java/pathgw/server/SocketRaceTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,14 +12,16 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import pathgw.net.RawWorld.Peer;
+import pathgw.server.SocketFixture.Peer;
+import pathgw.transport.Connection;
+import pathgw.transport.VertxTransport;
 
 /**
  * What comes in the very moment in which something else is done, on real sockets, the crossing
  * forced.
  */
 @Timeout(30)
-class CrossingTest {
+class SocketRaceTest {
   private static final String ORIGIN = "HTTP/1.1 200 OK\r\n";
 
   // Clients that have gone.
@@ -27,12 +29,12 @@
   /** Both lie at the machine together: the client has gone for as long as the loop stood still. */
   @Test
   void ofAFloodWithACloseBehindItNothingIsSentOn() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       // A connection that rests: what is sent on goes out at once.
       Peer first = world.client();
       String id = world.id();
       Peer at = world.carries(first, id);
-      at.sends(RawWorld.value(id));
+      at.sends(SocketFixture.value(id));
       first.line();
       Thread.sleep(20);
       world.held(
@@ -40,12 +42,12 @@
           () -> {
             Peer client = world.client();
             for (int n = 0; n < 40; n++) {
-              client.sends(RawWorld.read(world.id()));
+              client.sends(SocketFixture.read(world.id()));
             }
             client.socket.close();
           });
-      world.eventually("all have gone", () -> world.proxy.held().accesses() == 0);
-      first.sends(RawWorld.read("end"));
+      world.eventually("all have gone", () -> world.proxy.held().requests() == 0);
+      first.sends(SocketFixture.read("end"));
       Peer other = world.node.nextNow();
       String line = at.line();
       assertTrue((line.isEmpty() && other != null) || line.contains("Oend"), line);
@@ -55,10 +57,10 @@
   /** Sixteen are owed and no more is read: what is out for that client must end all the same. */
   @Test
   void aCloseIsSeenWhileNoMoreIsReadFromAClient() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       for (int n = 0; n < 100; n++) {
-        client.sends(RawWorld.read(world.id()));
+        client.sends(SocketFixture.read(world.id()));
       }
       List<Peer> out = new ArrayList<>();
       for (int n = 0; n < 4; n++) {
@@ -70,33 +72,33 @@
       }
       world.eventually(
           "nothing is held for it",
-          () -> world.proxy.held().accesses() == 0 && world.proxy.held().clients() == 0);
+          () -> world.proxy.held().requests() == 0 && world.proxy.held().clients() == 0);
     }
   }
 
   @Test
   void aClientThatEndsItsSideOnlyHasGoneToo() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       Peer at = world.carries(client, world.id());
       client.socket.shutdownOutput();
       assertEquals("", at.rest());
-      world.eventually("nothing is held for it", () -> world.proxy.held().accesses() == 0);
+      world.eventually("nothing is held for it", () -> world.proxy.held().requests() == 0);
     }
   }
 
   @Test
   void aConnectionThatComesUpAfterItsClientHasGoneCarriesNothing() throws Exception {
-    RawWorld.LateDials[] late = {null};
-    try (RawWorld world =
-        new RawWorld(
-                outside -> late[0] = new RawWorld.LateDials(outside),
+    SocketFixture.LateDials[] late = {null};
+    try (SocketFixture world =
+        new SocketFixture(
+                outside -> late[0] = new SocketFixture.LateDials(outside),
                 text -> text.replace("\"cancel\": true", "\"cancel\": false"))
             .knows()) {
       late[0].port = world.node.port();
       Peer client = world.client();
-      client.sends(RawWorld.read(world.id()));
-      Runnable dial = late[0].waiting.poll(RawWorld.PATIENCE_MS, TimeUnit.MILLISECONDS);
+      client.sends(SocketFixture.read(world.id()));
+      Runnable dial = late[0].waiting.poll(SocketFixture.PATIENCE_MS, TimeUnit.MILLISECONDS);
       client.socket.close();
       world.eventually("the client has gone", () -> world.proxy.held().clients() == 0);
       world.loop.runOnContext(now -> dial.run());
@@ -118,7 +120,7 @@
    */
   @Test
   void theLastAnswerIsNotTakenAlongByAReset() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       String id = world.id();
       Peer at = world.carries(client, id);
@@ -127,16 +129,16 @@
       world.held(
           5,
           () -> {
-            at.sends(RawWorld.value(id));
-            client.sends(RawWorld.read(world.id()));
+            at.sends(SocketFixture.value(id));
+            client.sends(SocketFixture.read(world.id()));
           });
       String told = client.rest();
       assertTrue(
-          told.equals(RawWorld.value(id))
-              || told.equals(RawWorld.value(id) + "SERVER_ERROR busy\r\n"),
+          told.equals(SocketFixture.value(id))
+              || told.equals(SocketFixture.value(id) + "SERVER_ERROR busy\r\n"),
           told);
       client.socket.close();
-      RawWorld.done(stopped);
+      SocketFixture.done(stopped);
     }
   }
 
@@ -146,18 +148,18 @@
    */
   @Test
   void aCommandReadBeforeTheEndIsAnswered() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       String id = world.id();
       Peer at = world.carries(client, id);
       Future<Void> stopped = world.stop();
       Thread.sleep(600);
-      client.sends(RawWorld.read(world.id()));
+      client.sends(SocketFixture.read(world.id()));
       Thread.sleep(100);
-      at.sends(RawWorld.value(id));
-      assertEquals(RawWorld.value(id) + "SERVER_ERROR busy\r\n", client.rest());
+      at.sends(SocketFixture.value(id));
+      assertEquals(SocketFixture.value(id) + "SERVER_ERROR busy\r\n", client.rest());
       client.socket.close();
-      RawWorld.done(stopped);
+      SocketFixture.done(stopped);
     }
   }
 
@@ -166,34 +168,34 @@
    */
   @Test
   void aCommandThatCrossesTheEndIsNotSentOn() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       client.sends("mn\r\n");
       assertEquals("MN\r\n", client.line());
       Future<Void> stopped = world.stop();
       assertEquals("", client.rest(), "an end, not a reset");
-      client.sends(RawWorld.read(world.id()));
-      RawWorld.done(stopped);
+      client.sends(SocketFixture.read(world.id()));
+      SocketFixture.done(stopped);
       assertNull(world.node.nextNow());
     }
   }
 
   @Test
   void whoComesAfterTheStopIsToldSo() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       String id = world.id();
       Peer at = world.carries(client, id);
       Future<Void> stopped = world.stop();
       Thread.sleep(600);
       Peer late = world.client();
-      late.sends(RawWorld.read(world.id()));
+      late.sends(SocketFixture.read(world.id()));
       assertEquals("SERVER_ERROR busy\r\n", late.rest());
       late.socket.close();
-      at.sends(RawWorld.value(id));
-      assertEquals(RawWorld.value(id), client.rest());
+      at.sends(SocketFixture.value(id));
+      assertEquals(SocketFixture.value(id), client.rest());
       client.socket.close();
-      RawWorld.done(stopped);
+      SocketFixture.done(stopped);
     }
   }
 
@@ -204,11 +206,11 @@
    */
   @Test
   void ofWhatIsClosedHalfWrittenTheRestNeverGoesOut() throws Exception {
-    try (RawWorld.Door door = new RawWorld.Door(peer -> {});
-        RawWorld world = new RawWorld()) {
+    try (SocketFixture.Door door = new SocketFixture.Door(peer -> {});
+        SocketFixture world = new SocketFixture()) {
       int size = 32 << 20;
-      VertxOutside outside = new VertxOutside(world.vertx);
-      io.vertx.core.Promise<Pipe.Over> over = io.vertx.core.Promise.promise();
+      VertxTransport outside = new VertxTransport(world.vertx);
+      io.vertx.core.Promise<Connection.CloseReason> over = io.vertx.core.Promise.promise();
       world.loop.runOnContext(
           now ->
               outside
@@ -216,15 +218,15 @@
                       new pathgw.config.Address("127.0.0.1", door.port()),
                       java.time.Duration.ofSeconds(2))
                   .onSuccess(
-                      pipe -> {
-                        pipe.whenOver(over::complete);
-                        pipe.write(io.vertx.core.buffer.Buffer.buffer(new byte[size]));
-                        pipe.close();
+                      connection -> {
+                        connection.onClose(over::complete);
+                        connection.write(io.vertx.core.buffer.Buffer.buffer(new byte[size]));
+                        connection.close();
                       }));
       Peer peer = door.next();
       // Not read before: a peer that reads as fast as this side writes could have had it all in
       // time.
-      RawWorld.done(over.future());
+      SocketFixture.done(over.future());
       int got = 0;
       byte[] some = new byte[1 << 16];
       try {
@@ -242,10 +244,10 @@
   /** One that reads nothing must not keep its place for good: a close does not wait for it. */
   @Test
   void aConnectionIsClosedThoughItsPeerReadsNothing() throws Exception {
-    try (RawWorld.Door door = new RawWorld.Door(peer -> {});
-        RawWorld world = new RawWorld()) {
-      VertxOutside outside = new VertxOutside(world.vertx);
-      io.vertx.core.Promise<Pipe.Over> over = io.vertx.core.Promise.promise();
+    try (SocketFixture.Door door = new SocketFixture.Door(peer -> {});
+        SocketFixture world = new SocketFixture()) {
+      VertxTransport outside = new VertxTransport(world.vertx);
+      io.vertx.core.Promise<Connection.CloseReason> over = io.vertx.core.Promise.promise();
       world.loop.runOnContext(
           now ->
               outside
@@ -253,20 +255,20 @@
                       new pathgw.config.Address("127.0.0.1", door.port()),
                       java.time.Duration.ofSeconds(2))
                   .onSuccess(
-                      pipe -> {
-                        pipe.whenOver(over::complete);
-                        pipe.write(io.vertx.core.buffer.Buffer.buffer(new byte[32 << 20]));
-                        pipe.close();
+                      connection -> {
+                        connection.onClose(over::complete);
+                        connection.write(io.vertx.core.buffer.Buffer.buffer(new byte[32 << 20]));
+                        connection.close();
                       }));
       door.next();
-      assertEquals(Pipe.Over.BROKEN, RawWorld.done(over.future()));
+      assertEquals(Connection.CloseReason.BROKEN, SocketFixture.done(over.future()));
     }
   }
 
   // Answers that are cut, and that come late.
 
   /** The client misses at the node and is given to the origin. */
-  private static Peer atOrigin(RawWorld world, Peer client, String id) throws Exception {
+  private static Peer atOrigin(SocketFixture world, Peer client, String id) throws Exception {
     Peer at = world.carries(client, id);
     at.sends("EN O" + id + "\r\n");
     Peer origin = world.origin.next();
@@ -278,7 +280,7 @@
 
   @Test
   void anAnswerWithoutLengthThatIsResetReachesNobody() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       Peer origin = atOrigin(world, client, world.id());
       world.held(
@@ -301,7 +303,7 @@
   /** The second copy is on its way when the connection is wanted for the next command. */
   @Test
   void aSecondAnswerOfTheOriginDoesNotMeetTheNextCommand() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       Peer origin = atOrigin(world, client, world.id());
       origin.sends(ORIGIN + "Content-Length: 3\r\n\r\none");
@@ -310,7 +312,7 @@
       Thread.sleep(5);
       String next = world.id();
       Peer other = world.client();
-      other.sends(RawWorld.write(next));
+      other.sends(SocketFixture.write(next));
       Peer second = world.origin.next();
       while (!second.line().equals("\r\n")) {
         // The head.
@@ -323,7 +325,7 @@
 
   @Test
   void halfALineAndACloseAnswersNothing() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       String id = world.id();
       Peer at = world.carries(client, id);
@@ -356,7 +358,7 @@
 
   @Test
   void aFetchAfterALateMissTellsTheOriginTheTimeThatIsLeft() throws Exception {
-    try (RawWorld world = new RawWorld().knows()) {
+    try (SocketFixture world = new SocketFixture().knows()) {
       Peer client = world.client();
       String id = world.id();
       Peer at = world.carries(client, id);
@@ -369,12 +371,13 @@
 
   @Test
   void aWriteWhoseConnectionComesUpLateTellsTheOriginTheTimeThatIsLeft() throws Exception {
-    RawWorld.LateDials[] late = {null};
-    try (RawWorld world =
-        new RawWorld(outside -> late[0] = new RawWorld.LateDials(outside), text -> text).knows()) {
+    SocketFixture.LateDials[] late = {null};
+    try (SocketFixture world =
+        new SocketFixture(outside -> late[0] = new SocketFixture.LateDials(outside), text -> text)
+            .knows()) {
       late[0].port = world.origin.port();
-      world.client().sends(RawWorld.write(world.id()));
-      Runnable dial = late[0].waiting.poll(RawWorld.PATIENCE_MS, TimeUnit.MILLISECONDS);
+      world.client().sends(SocketFixture.write(world.id()));
+      Runnable dial = late[0].waiting.poll(SocketFixture.PATIENCE_MS, TimeUnit.MILLISECONDS);
       Thread.sleep(100);
       world.loop.runOnContext(now -> dial.run());
       long told = toldTime(world.origin.next());
--- a/src/test/java/pathgw/net/WarmUpTest.java
+++ b/src/test/java/pathgw/server/WarmUpTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -7,13 +7,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathgw.fixture.NetworkFixture;
+import pathgw.transport.Connection;
+import pathgw.transport.FakeConnection;
 
 /** Requests that a proxy sends through itself before the first client is served. */
 class WarmUpTest extends NetworkFixture {
-  private List<Pipe> strangers;
+  private List<Connection> strangers;
 
   private WarmUp warmUp() {
-    WarmUp warmUp = new WarmUp(agenda, CONFIG, WarmUp.ROUNDS, this::dial);
+    WarmUp warmUp = new WarmUp(timers, CONFIG, WarmUp.ROUNDS, this::dial);
     warmUp
         .run(1)
         .onSuccess(
--- a/src/test/java/pathgw/simulation/Tampered.java
+++ b/src/test/java/pathgw/simulation/MutatedTransport.java
@@ -6,26 +6,25 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import pathgw.config.Address;
-import pathgw.net.Outside;
-import pathgw.net.Pipe;
-import pathgw.net.Watcher;
+import pathgw.transport.Connection;
+import pathgw.transport.Transport;
 
 /** A proxy's world that a test changes here and there; all else passes through. */
-class Tampered implements Outside {
-  final Outside honest;
+class MutatedTransport implements Transport {
+  final Transport honest;
 
-  Tampered(Outside honest) {
+  MutatedTransport(Transport honest) {
     this.honest = honest;
   }
 
   /** A connection that the proxy opened. */
-  Pipe dialled(Pipe pipe, Address to) {
-    return pipe;
+  Connection dialled(Connection connection, Address to) {
+    return connection;
   }
 
   /** A connection that came to the proxy. */
-  Pipe arrived(Pipe pipe) {
-    return pipe;
+  Connection arrived(Connection connection) {
+    return connection;
   }
 
   static boolean toList(Address to) {
@@ -40,8 +39,8 @@
     return to.host().startsWith("10.3.");
   }
 
-  static boolean fromClients(Pipe pipe) {
-    return pipe.there().host().startsWith("10.4.");
+  static boolean fromClients(Connection connection) {
+    return connection.there().host().startsWith("10.4.");
   }
 
   @Override
@@ -60,13 +59,13 @@
   }
 
   @Override
-  public Future<Pipe> dial(Address to, Duration within) {
-    return honest.dial(to, within).map(pipe -> dialled(pipe, to));
+  public Future<Connection> dial(Address to, Duration within) {
+    return honest.dial(to, within).map(connection -> dialled(connection, to));
   }
 
   @Override
-  public Future<Integer> listen(Address at, Consumer<Pipe> taken) {
-    return honest.listen(at, pipe -> taken.accept(arrived(pipe)));
+  public Future<Integer> listen(Address at, Consumer<Connection> taken) {
+    return honest.listen(at, connection -> taken.accept(arrived(connection)));
   }
 
   @Override
@@ -74,32 +73,27 @@
     return honest.datagrams(at, heard);
   }
 
-  @Override
-  public Watcher watcher() {
-    return honest.watcher();
-  }
-
   /** One connection; all passes through but what a test overrides. */
-  static class Through implements Pipe {
-    final Pipe honest;
+  static class Through implements Connection {
+    final Connection honest;
 
-    Through(Pipe honest) {
+    Through(Connection honest) {
       this.honest = honest;
     }
 
     @Override
-    public void reads(Consumer<Buffer> came) {
-      honest.reads(came);
+    public void onData(Consumer<Buffer> came) {
+      honest.onData(came);
     }
 
     @Override
-    public void whenOver(Consumer<Over> over) {
-      honest.whenOver(over);
+    public void onClose(Consumer<CloseReason> over) {
+      honest.onClose(over);
     }
 
     @Override
-    public void whenRoom(Runnable room) {
-      honest.whenRoom(room);
+    public void onWritable(Runnable room) {
+      honest.onWritable(room);
     }
 
     @Override
@@ -128,8 +122,8 @@
     }
 
     @Override
-    public void endWriting() {
-      honest.endWriting();
+    public void shutdownOutput() {
+      honest.shutdownOutput();
     }
 
     @Override
--- a/src/test/java/pathgw/simulation/PlantedTest.java
+++ b/src/test/java/pathgw/simulation/SeededBugTest.java
@@ -15,60 +15,60 @@
 import java.util.function.LongFunction;
 import org.junit.jupiter.api.Test;
 import pathgw.config.Address;
-import pathgw.net.Outside;
-import pathgw.net.Pipe;
+import pathgw.transport.Connection;
+import pathgw.transport.Transport;
 
 /**
  * Breaches planted into an honest proxy: each is found by the seeds, and shrunk to what a person
  * can read.
  */
-class PlantedTest {
+class SeededBugTest {
   private static final int MOST_SEEDS = 1000;
   private static final int MOST_LINES = 12;
 
-  private static Tamper dialled(
-      BiFunction<Tampered, Pipe, Pipe> to, Function<Address, Boolean> which) {
-    return new Tamper() {
+  private static Mutation dialled(
+      BiFunction<MutatedTransport, Connection, Connection> to, Function<Address, Boolean> which) {
+    return new Mutation() {
       @Override
-      public Outside outside(Outside honest, int proxy) {
-        return new Tampered(honest) {
+      public Transport transport(Transport honest, int proxy) {
+        return new MutatedTransport(honest) {
           @Override
-          Pipe dialled(Pipe pipe, Address address) {
-            return which.apply(address) ? to.apply(this, pipe) : pipe;
+          Connection dialled(Connection connection, Address address) {
+            return which.apply(address) ? to.apply(this, connection) : connection;
           }
         };
       }
     };
   }
 
-  private static Tamper arrived(BiFunction<Tampered, Pipe, Pipe> to) {
-    return new Tamper() {
+  private static Mutation arrived(BiFunction<MutatedTransport, Connection, Connection> to) {
+    return new Mutation() {
       @Override
-      public Outside outside(Outside honest, int proxy) {
-        return new Tampered(honest) {
+      public Transport transport(Transport honest, int proxy) {
+        return new MutatedTransport(honest) {
           @Override
-          Pipe arrived(Pipe pipe) {
-            return fromClients(pipe) ? to.apply(this, pipe) : pipe;
+          Connection arrived(Connection connection) {
+            return fromClients(connection) ? to.apply(this, connection) : connection;
           }
         };
       }
     };
   }
 
-  private static void found(int rule, String kind, Tamper tamper) {
-    found(rule, kind, tamper, 0);
+  private static void found(int rule, String kind, Mutation mutation) {
+    found(rule, kind, mutation, 0);
   }
 
-  private static void found(int rule, String kind, Tamper tamper, long from) {
-    found(rule, kind, tamper, from, Draw::script);
+  private static void found(int rule, String kind, Mutation mutation, long from) {
+    found(rule, kind, mutation, from, ScenarioGenerator::scenario);
   }
 
   private static void found(
-      int rule, String kind, Tamper tamper, long from, LongFunction<Script> draw) {
-    Outcome failed = null;
+      int rule, String kind, Mutation mutation, long from, LongFunction<Scenario> draw) {
+    RunResult failed = null;
     long seed = from;
     while (failed == null && seed < MOST_SEEDS) {
-      Outcome o = Play.play(draw.apply(seed++), tamper, null);
+      RunResult o = ScenarioRun.play(draw.apply(seed++), mutation, null);
       failed = o.breach() == null ? null : o;
     }
     assertNotNull(failed, "not found in " + MOST_SEEDS + " seeds");
@@ -76,14 +76,17 @@
         rule + " " + kind,
         failed.breach().rule() + " " + failed.breach().kind(),
         failed.breach().toString());
-    String shrunk = Shrink.shrink(s -> Play.play(s, tamper, null), failed).toString();
+    String shrunk =
+        ScenarioShrinker.shrink(s -> ScenarioRun.play(s, mutation, null), failed).toString();
     System.out.println(
         "planted " + kind + ": seed " + (seed - 1) + ", " + shrunk.lines().count() + " lines");
     assertTrue(shrunk.lines().count() <= MOST_LINES, shrunk);
-    Outcome again = Play.play(Script.read(shrunk), tamper, null);
+    RunResult again = ScenarioRun.play(Scenario.read(shrunk), mutation, null);
     assertTrue(failed.breach().like(again.breach()), "the script replays it: " + shrunk);
     assertEquals(
-        null, Play.play(Script.read(shrunk), Tamper.NONE, null).breach(), "without it all is kept");
+        null,
+        ScenarioRun.play(Scenario.read(shrunk), Mutation.NONE, null).breach(),
+        "without it all is kept");
   }
 
   @Test
@@ -92,27 +95,27 @@
         3,
         "drain",
         dialled(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
-                  public void reads(Consumer<Buffer> came) {
-                    honest.reads(
+                  public void onData(Consumer<Buffer> came) {
+                    honest.onData(
                         bytes -> world.after(Duration.ofMillis(1200), () -> came.accept(bytes)));
                   }
                 },
-            Tampered::toList));
+            MutatedTransport::toList));
   }
 
   /** Empty lines of its own making keep a proxy from seeing that its watch has fallen silent. */
   @Test
   void aSilentWatchTakenForAnOpenOne() {
-    Tamper deaf =
+    Mutation deaf =
         dialled(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
-                  public void reads(Consumer<Buffer> came) {
-                    honest.reads(came);
+                  public void onData(Consumer<Buffer> came) {
+                    honest.onData(came);
                     again(() -> came.accept(Buffer.buffer("1\r\n\n\r\n")));
                   }
 
@@ -125,14 +128,14 @@
                         });
                   }
                 },
-            Tampered::toList);
+            MutatedTransport::toList);
     found(
         3,
         "drain",
         deaf,
         0,
         seed -> {
-          Script drawn = Draw.script(seed);
+          Scenario drawn = ScenarioGenerator.scenario(seed);
           List<Fault> faults = new ArrayList<>(drawn.faults());
           faults.add(new Fault(2000, 0, Fault.Kind.LIST_SILENT, -1, 1));
           faults.add(new Fault(4000, 0, Fault.Kind.DRAINS, (int) seed, 0));
@@ -141,14 +144,14 @@
   }
 
   /** A call that is turned away is taken for a list in which nothing has changed. */
-  private static Tamper believesRefusals() {
+  private static Mutation believesRefusals() {
     return dialled(
-        (world, pipe) ->
-            new Tampered.Through(pipe) {
+        (world, connection) ->
+            new MutatedTransport.Through(connection) {
               @Override
-              public void reads(Consumer<Buffer> came) {
+              public void onData(Consumer<Buffer> came) {
                 String nothing = "{\"seq\":0,\"whole\":false,\"hosts\":[]}\n";
-                honest.reads(
+                honest.onData(
                     bytes ->
                         came.accept(
                             !bytes.toString().startsWith("HTTP/1.1 503")
@@ -161,7 +164,7 @@
                                         + "\r\n")));
               }
             },
-        Tampered::toList);
+        MutatedTransport::toList);
   }
 
   /**
@@ -175,7 +178,7 @@
         believesRefusals(),
         1,
         seed ->
-            Script.read(
+            Scenario.read(
                 "seed "
                     + seed
                     + "\nproxies 20\nnodes 8\nrate 100/s\ncalls 2/s\nlasts 16000ms\n"
@@ -183,16 +186,16 @@
   }
 
   @Test
-  void aHandOffToAGoneNode() {
+  void aAttemptToAGoneNode() {
     found(
         3,
         "drain",
         dialled(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
-                  public void reads(Consumer<Buffer> came) {
-                    honest.reads(
+                  public void onData(Consumer<Buffer> came) {
+                    honest.onData(
                         bytes -> {
                           if (!bytes.toString().contains("\"gone\"")) {
                             came.accept(bytes);
@@ -200,16 +203,16 @@
                         });
                   }
                 },
-            Tampered::toList));
+            MutatedTransport::toList));
   }
 
   /**
    * Sends what was out on a connection that broke once more, to the same place and after a while.
    */
-  private static Tamper resends(String offering, Duration after) {
+  private static Mutation resends(String requestClass, Duration after) {
     return dialled(
-        (world, pipe) ->
-            new Tampered.Through(pipe) {
+        (world, connection) ->
+            new MutatedTransport.Through(connection) {
               private Buffer out;
 
               @Override
@@ -219,8 +222,8 @@
               }
 
               @Override
-              public void reads(Consumer<Buffer> came) {
-                honest.reads(
+              public void onData(Consumer<Buffer> came) {
+                honest.onData(
                     bytes -> {
                       out = null;
                       came.accept(bytes);
@@ -228,28 +231,28 @@
               }
 
               @Override
-              public void whenOver(Consumer<Over> over) {
-                honest.whenOver(
+              public void onClose(Consumer<CloseReason> over) {
+                honest.onClose(
                     how -> {
                       Buffer lost = out;
-                      if (lost != null && lost.toString().contains("c=" + offering)) {
+                      if (lost != null && lost.toString().contains("c=" + requestClass)) {
                         world.after(
                             after,
                             () ->
                                 world
                                     .honest
-                                    .dial(pipe.there(), Duration.ofMillis(75))
+                                    .dial(connection.there(), Duration.ofMillis(75))
                                     .onSuccess(other -> other.write(lost)));
                       }
                       over.accept(how);
                     });
               }
             },
-        Tampered::toNodes);
+        MutatedTransport::toNodes);
   }
 
   @Test
-  void anAtMostOnceAccessSentAgainThoughItMayHaveRun() {
+  void anAtMostOnceRequestSentAgainThoughItMayHaveRun() {
     found(2, "resend", resends("book", Duration.ofMillis(1)));
   }
 
@@ -264,8 +267,8 @@
         1,
         "two-answers",
         arrived(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   private int count;
 
                   @Override
@@ -283,8 +286,8 @@
         1,
         "no-answer",
         arrived(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
                   public Future<Void> write(Buffer bytes) {
                     return bytes.toString().startsWith("SERVER_ERROR failed")
@@ -301,8 +304,8 @@
         1,
         "another's",
         arrived(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   private int count;
 
                   @Override
@@ -331,7 +334,7 @@
     found(
         4,
         "cold",
-        new Tamper() {
+        new Mutation() {
           @Override
           public String config(String honest) {
             return honest
@@ -350,14 +353,14 @@
         1,
         "another's",
         dialled(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
-                  public void whenOver(Consumer<Over> over) {
-                    honest.whenOver(how -> over.accept(Over.ORDERLY));
+                  public void onClose(Consumer<CloseReason> over) {
+                    honest.onClose(how -> over.accept(CloseReason.END_OF_STREAM));
                   }
                 },
-            Tampered::toNodes));
+            MutatedTransport::toNodes));
   }
 
   /** Seen so late, it goes on being asked for: what failed is handed on again. */
@@ -367,11 +370,11 @@
         1,
         "after",
         arrived(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
-                  public void whenOver(Consumer<Over> over) {
-                    honest.whenOver(
+                  public void onClose(Consumer<CloseReason> over) {
+                    honest.onClose(
                         how -> world.after(Duration.ofMillis(600), () -> over.accept(how)));
                   }
                 }));
@@ -382,7 +385,7 @@
     found(
         5,
         "descriptors",
-        new Tamper() {
+        new Mutation() {
           @Override
           public String config(String honest) {
             return honest.replaceAll("\"sockets\":\\d+", "\"sockets\":4096");
@@ -399,7 +402,7 @@
         believesRefusals(),
         1,
         seed ->
-            Script.read(
+            Scenario.read(
                 "seed "
                     + seed
                     + "\nproxies 3\nnodes 8\nrate 60/s\nlasts 16000ms\nat 3000ms for 9000ms list-refuses by 1"
@@ -412,10 +415,10 @@
         5,
         "leak",
         arrived(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
-                  public void whenOver(Consumer<Over> over) {
+                  public void onClose(Consumer<CloseReason> over) {
                     // Nobody hears of it.
                   }
                 }));
@@ -427,8 +430,8 @@
         1,
         "held-back",
         arrived(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
                   public Future<Void> write(Buffer bytes) {
                     if (!bytes.toString().startsWith("SERVER_ERROR busy")) {
@@ -446,11 +449,11 @@
         5,
         "fault",
         arrived(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
-                  public void reads(Consumer<Buffer> came) {
-                    honest.reads(
+                  public void onData(Consumer<Buffer> came) {
+                    honest.onData(
                         bytes -> {
                           if (bytes.toString().contains("c=book")) {
                             throw new IllegalStateException("planted");
@@ -470,14 +473,14 @@
         1,
         "time-told",
         dialled(
-            (world, pipe) ->
-                new Tampered.Through(pipe) {
+            (world, connection) ->
+                new MutatedTransport.Through(connection) {
                   @Override
                   public Future<Void> write(Buffer bytes) {
                     return honest.write(
                         Buffer.buffer(bytes.toString().replaceFirst("d=\\d+", "d=600")));
                   }
                 },
-            Tampered::toOrigin));
+            MutatedTransport::toOrigin));
   }
 }
--- a/src/test/java/pathgw/simulation/SimulationTest.java
+++ b/src/test/java/pathgw/simulation/SimulationTest.java
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import pathgw.config.BadInput;
+import pathgw.config.InvalidInputException;
 
 /** The unchanged proxy under troubles from seeds, and under every script that once broke a rule. */
 class SimulationTest {
@@ -22,7 +22,7 @@
 
   @Test
   void theSeedsOfTheBuildKeepEveryRule() throws InterruptedException {
-    Seeds.Sum sum = Seeds.play(0, SEEDS - 1, 4, true, played -> {});
+    SeedRange.Sum sum = SeedRange.play(0, SEEDS - 1, 4, true, played -> {});
     assertEquals(List.of(), sum.failed());
     for (Fault.Kind kind : Arrays.asList(Fault.Kind.values()).subList(0, Fault.Kind.ANY_FLEET)) {
       assertTrue(sum.counts().containsKey("fault " + kind.word()), kind + " never came");
@@ -34,7 +34,7 @@
    */
   @Test
   void largeFleetsKeepEveryRuleAndDoNotAddUpToAHerd() throws InterruptedException {
-    Seeds.Sum sum = Seeds.fleets(0, FLEETS - 1, 4, false, played -> {});
+    SeedRange.Sum sum = SeedRange.fleets(0, FLEETS - 1, 4, false, played -> {});
     assertEquals(List.of(), sum.failed());
     for (String kind :
         List.of(
@@ -43,7 +43,7 @@
     }
     long proxies = 0;
     for (long seed = 0; seed < FLEETS; seed++) {
-      proxies += Draw.fleet(seed).proxies();
+      proxies += ScenarioGenerator.fleet(seed).proxies();
     }
     long calls = sum.counts().get("fleet list calls");
     assertTrue(calls <= 5 * proxies, calls + " calls of " + proxies + " proxies");
@@ -57,37 +57,37 @@
       scripts = files.sorted().toList();
     }
     assertTrue(scripts.size() >= 4);
-    for (Path script : scripts) {
+    for (Path scenario : scripts) {
       assertEquals(
           null,
-          Play.play(Script.read(Files.readString(script)), Tamper.NONE, null).breach(),
-          script.toString());
+          ScenarioRun.play(Scenario.read(Files.readString(scenario)), Mutation.NONE, null).breach(),
+          scenario.toString());
     }
   }
 
   @Test
   void theSameSeedIsTheSameRunHoweverManyThreads() throws InterruptedException {
-    long alone = Seeds.play(40, 59, 1, false, played -> {}).digest();
-    assertEquals(alone, Seeds.play(40, 59, 8, false, played -> {}).digest());
-    assertNotEquals(alone, Seeds.play(41, 60, 8, false, played -> {}).digest());
+    long alone = SeedRange.play(40, 59, 1, false, played -> {}).digest();
+    assertEquals(alone, SeedRange.play(40, 59, 8, false, played -> {}).digest());
+    assertNotEquals(alone, SeedRange.play(41, 60, 8, false, played -> {}).digest());
   }
 
   @Test
   void aTraceChangesNothingAndTellsAll() {
     List<String> lines = new ArrayList<>();
-    Script script = Draw.script(7);
-    Outcome traced = Play.play(script, Tamper.NONE, lines::add);
-    assertEquals(Play.play(script, Tamper.NONE, null), traced);
+    Scenario scenario = ScenarioGenerator.scenario(7);
+    RunResult traced = ScenarioRun.play(scenario, Mutation.NONE, lines::add);
+    assertEquals(ScenarioRun.play(scenario, Mutation.NONE, null), traced);
     assertTrue(lines.size() > 1000, lines.size() + " lines");
   }
 
   @Test
   void aScriptIsReadAsItIsWritten() {
     for (long seed = 0; seed < 500; seed++) {
-      Script script = Draw.script(seed);
-      assertEquals(script, Script.read(script.toString()), script.toString());
+      Scenario scenario = ScenarioGenerator.scenario(seed);
+      assertEquals(scenario, Scenario.read(scenario.toString()), scenario.toString());
     }
-    assertEquals(Script.PLAIN, Script.read("\n# nothing\n seed 1\n"));
+    assertEquals(Scenario.PLAIN, Scenario.read("\n# nothing\n seed 1\n"));
   }
 
   @Test
@@ -104,7 +104,9 @@
           {"at 1s dies node 3", "line 1: not of the form 'at 100ms for 2000ms slow node 3 by 4'"},
           {"at 1ms explodes", "line 1: 'explodes' is no known trouble"}
         }) {
-      assertEquals(bad[1], assertThrows(BadInput.class, () -> Script.read(bad[0])).getMessage());
+      assertEquals(
+          bad[1],
+          assertThrows(InvalidInputException.class, () -> Scenario.read(bad[0])).getMessage());
     }
   }
 }
--- a/src/test/java/pathgw/net/KeepsakeTest.java
+++ b/src/test/java/pathgw/snapshot/SnapshotFileTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.snapshot;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -11,17 +11,16 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pathgw.Decide;
-import pathgw.Learnt;
-import pathgw.Standing;
-import pathgw.config.Address;
 import pathgw.config.Config;
 import pathgw.config.TestConfig;
+import pathgw.decision.DecisionEngine;
+import pathgw.decision.EndpointState;
+import pathgw.decision.NodeSnapshot;
 
 /** What a start takes up of the proxy before it, and what it must not. */
-class KeepsakeTest {
-  private static final Learnt DOUBTED = new Learnt(1, 4, 2.9, true);
-  private static final Learnt NOTHING = new Learnt(0, 0, 0, false);
+class SnapshotFileTest {
+  private static final NodeSnapshot DOUBTED = new NodeSnapshot(1, 4, 2.9, true);
+  private static final NodeSnapshot NOTHING = new NodeSnapshot(0, 0, 0, false);
 
   @TempDir Path folder;
   private Path file;
@@ -29,29 +28,26 @@
   @BeforeEach
   void aProxyThatDoubtsNodeOneHasStopped() {
     file = folder.resolve("learnt");
-    Decide before = module();
+    DecisionEngine before = module();
     before.recall(1, DOUBTED);
-    Keepsake.write(file, before, Map.of(1L, born(7), 2L, born(7)), 1000);
+    SnapshotFile.write(file, before, Map.of(1L, 7L, 2L, 7L), 1000);
   }
 
-  private static Member born(long ms) {
-    return new Member("1", new Address("127.0.0.1", 1), Standing.READY, ms, 0, 0, 0);
-  }
-
-  private static Decide module() {
-    Decide module =
-        new Decide(Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)).settings(), 1);
-    module.listBegins(true, false);
-    module.listed(1, Standing.READY, null, 0, 0, 0);
-    module.listed(2, Standing.READY, null, 0, 0, 0);
-    module.listEnds();
+  private static DecisionEngine module() {
+    DecisionEngine module =
+        new DecisionEngine(
+            Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)).settings(), 1);
+    module.beginEndpointUpdate(true, false);
+    module.updateEndpoint(1, EndpointState.READY, null, 0, 0, 0);
+    module.updateEndpoint(2, EndpointState.READY, null, 0, 0, 0);
+    module.endEndpointUpdate();
     return module;
   }
 
   /** What the next proxy holds of node one. */
-  private Learnt next(long bornMs, long unixMs) {
-    Decide after = module();
-    Keepsake.read(file, unixMs).recall(1, bornMs, after);
+  private NodeSnapshot next(long bornMs, long unixMs) {
+    DecisionEngine after = module();
+    SnapshotFile.read(file, unixMs).recall(1, bornMs, after);
     return after.learnt(1);
   }
 
@@ -91,17 +87,17 @@
                 "\"id\": \"2\", \"born_ms\": 7, \"wins\": 0.0",
                 "\"id\": \"2\", \"born_ms\": 7, \"wins\": 1e9"));
     assertEquals(DOUBTED, next(7, 2000));
-    Decide after = module();
-    Keepsake.read(file, 2000).recall(2, 7, after);
+    DecisionEngine after = module();
+    SnapshotFile.read(file, 2000).recall(2, 7, after);
     assertEquals(NOTHING, after.learnt(2));
     assertNull(after.learnt(3));
   }
 
   @Test
   void nothingIsLeftAfterTheFirstNewsFromDiscovery() {
-    Keepsake kept = Keepsake.read(file, 2000);
+    SnapshotFile kept = SnapshotFile.read(file, 2000);
     kept.forgetRest();
-    Decide after = module();
+    DecisionEngine after = module();
     kept.recall(1, 7, after);
     assertEquals(NOTHING, after.learnt(1));
   }
--- a/src/test/java/pathgw/net/AgendaTest.java
+++ b/src/test/java/pathgw/transport/EventLoopTimersTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,16 +12,16 @@
 /**
  * The loop's timers, which the test lets fire in the order in which a loop that stands still does.
  */
-class AgendaTest {
-  private final List<Runnable> timers = new ArrayList<>();
+class EventLoopTimersTest {
+  private final List<Runnable> scheduled = new ArrayList<>();
   private long nanos;
-  private final Agenda agenda =
-      new Agenda(
+  private final EventLoopTimers timers =
+      new EventLoopTimers(
           () -> nanos,
           0,
           (span, what) -> {
-            timers.add(what);
-            return () -> timers.remove(what);
+            scheduled.add(what);
+            return () -> scheduled.remove(what);
           });
 
   private void passes(long ms) {
@@ -35,17 +35,17 @@
    */
   @Test
   void aSecondStopIsNotOverWithTheFirst() {
-    agenda.in(Duration.ofMillis(1), () -> agenda.in(Duration.ofMillis(1), () -> {}));
+    timers.in(Duration.ofMillis(1), () -> timers.in(Duration.ofMillis(1), () -> {}));
     passes(184);
-    timers.remove(0).run();
-    Runnable firstIsOver = timers.remove(0);
+    scheduled.remove(0).run();
+    Runnable firstIsOver = scheduled.remove(0);
     passes(208);
-    timers.remove(0).run();
-    Runnable secondIsOver = timers.remove(0);
+    scheduled.remove(0).run();
+    Runnable secondIsOver = scheduled.remove(0);
     firstIsOver.run();
-    assertFalse(agenda.hasReadAll(), "nothing has been read since");
-    assertEquals(Duration.ofMillis(207), agenda.behind());
+    assertFalse(timers.hasReadAll(), "nothing has been read since");
+    assertEquals(Duration.ofMillis(207), timers.behind());
     secondIsOver.run();
-    assertTrue(agenda.hasReadAll());
+    assertTrue(timers.hasReadAll());
   }
 }
--- a/src/test/java/pathgw/net/FakeConnection.java
+++ b/src/test/java/pathgw/transport/FakeConnection.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.transport;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -7,7 +7,7 @@
 import pathgw.config.Address;
 
 /** One side of a connection; the test is the other, sees what is written and gives what is read. */
-public final class FakeConnection implements Pipe {
+public final class FakeConnection implements Connection {
   public final StringBuilder written = new StringBuilder();
   public int timesWritten;
   public boolean closed;
@@ -19,8 +19,8 @@
 
   public String from = "127.0.0.1";
   private Consumer<Buffer> reader;
-  private Consumer<Over> whenOver;
-  private Runnable whenRoom;
+  private Consumer<CloseReason> onClose;
+  private Runnable onWritable;
 
   public void gives(String bytes) {
     if (reader != null) {
@@ -30,38 +30,38 @@
 
   public void drains() {
     full = false;
-    whenRoom.run();
+    onWritable.run();
   }
 
   public void breaks() {
-    over(Over.BROKEN);
+    over(CloseReason.BROKEN);
   }
 
   /** The test's side says that no more comes. */
   public void ends() {
-    over(Over.ORDERLY);
+    over(CloseReason.END_OF_STREAM);
   }
 
-  private void over(Over how) {
+  private void over(CloseReason how) {
     closed = true;
-    if (whenOver != null) {
-      whenOver.accept(how);
+    if (onClose != null) {
+      onClose.accept(how);
     }
   }
 
   @Override
-  public void reads(Consumer<Buffer> came) {
+  public void onData(Consumer<Buffer> came) {
     reader = came;
   }
 
   @Override
-  public void whenOver(Consumer<Over> over) {
-    whenOver = over;
+  public void onClose(Consumer<CloseReason> over) {
+    onClose = over;
   }
 
   @Override
-  public void whenRoom(Runnable room) {
-    whenRoom = room;
+  public void onWritable(Runnable room) {
+    onWritable = room;
   }
 
   @Override
@@ -88,7 +88,7 @@
   }
 
   @Override
-  public void endWriting() {
+  public void shutdownOutput() {
     endsWriting = true;
   }
 
--- a/src/test/java/pathgw/net/VertxOutsideTest.java
+++ b/src/test/java/pathgw/transport/VertxTransportTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.transport;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import pathgw.config.Address;
 
-class VertxOutsideTest {
+class VertxTransportTest {
   private static final String HERE = "127.0.0.1";
 
   /**
@@ -20,19 +20,19 @@
    */
   @Test
   void aConnectionOnWhichNothingIsWrittenIsHeardOfAtOnce() throws Exception {
-    Vertx vertx = VertxOutside.vertx();
+    Vertx vertx = VertxTransport.vertx();
     try {
-      VertxOutside outside = new VertxOutside(vertx);
+      VertxTransport transport = new VertxTransport(vertx);
       long best = Long.MAX_VALUE;
       for (int i = 0; i < 5; i++) {
         Promise<Long> heard = Promise.promise();
         int port =
             done(
-                outside.listen(
+                transport.listen(
                     new Address(HERE, 0), arrived -> heard.tryComplete(System.nanoTime())));
         long upAt =
             done(
-                outside
+                transport
                     .dial(new Address(HERE, port), Duration.ofSeconds(5))
                     .map(up -> System.nanoTime()));
         best = Math.min(best, done(heard.future()) - upAt);
@@ -47,15 +47,18 @@
   /** Small writes that the system holds back would go with a reset. */
   @Test
   void neitherEndHoldsSmallWritesBack() throws Exception {
-    Vertx vertx = VertxOutside.vertx();
+    Vertx vertx = VertxTransport.vertx();
     try {
-      VertxOutside outside = new VertxOutside(vertx);
-      Promise<Pipe> came = Promise.promise();
-      int port = done(outside.listen(new Address(HERE, 0), came::tryComplete));
-      Pipe dialled = done(outside.dial(new Address(HERE, port), Duration.ofSeconds(5)));
-      for (Pipe end : List.of(dialled, done(came.future()))) {
+      VertxTransport transport = new VertxTransport(vertx);
+      Promise<Connection> came = Promise.promise();
+      int port = done(transport.listen(new Address(HERE, 0), came::tryComplete));
+      Connection dialled = done(transport.dial(new Address(HERE, port), Duration.ofSeconds(5)));
+      for (Connection end : List.of(dialled, done(came.future()))) {
         assertTrue(
-            ((VertxOutside.VertxConnection) end).channel().config().getOption(ChannelOption.TCP_NODELAY));
+            ((VertxTransport.VertxConnection) end)
+                .channel()
+                .config()
+                .getOption(ChannelOption.TCP_NODELAY));
       }
     } finally {
       done(vertx.close());
--- a/src/test/java/pathgw/net/ConnectionPoolTest.java
+++ b/src/test/java/pathgw/upstream/ConnectionPoolTest.java
@@ -1,4 +1,4 @@
-package pathgw.net;
+package pathgw.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -13,80 +13,90 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
-import pathgw.How;
-import pathgw.Standing;
+import pathgw.codec.MetaCodec;
+import pathgw.codec.MetaCommand;
+import pathgw.decision.AttemptOutcome;
+import pathgw.decision.EndpointState;
+import pathgw.discovery.Endpoint;
+import pathgw.transport.Connection;
+import pathgw.transport.FakeConnection;
 
 /** Connections to one cache node, and what the end of each attempt on them means. */
 class ConnectionPoolTest extends PoolFixture {
   @Test
   void onlyWhatHadItsLastByteWrittenMayHaveRun() {
-    Set<End> never =
-        Arrays.stream(End.values())
-            .filter(e -> e.how().surelyNeverRan())
+    Set<AttemptEnd> never =
+        Arrays.stream(AttemptEnd.values())
+            .filter(e -> e.how().neverRan())
             .collect(Collectors.toSet());
     assertEquals(
         EnumSet.of(
-            End.NOTHING_STORED,
-            End.TURNED_AWAY,
-            End.CONNECT_REFUSED,
-            End.CONNECT_TOO_LONG,
-            End.BROKE_BEFORE_LAST_BYTE,
-            End.SILENT_BEFORE_LAST_BYTE,
-            End.WITHDRAWN_BEFORE_LAST_BYTE,
-            End.TOO_LATE_TO_SEND,
-            End.NOT_WANTED,
-            End.NODE_LEAVES,
-            End.NOT_TRIED),
+            AttemptEnd.MISS,
+            AttemptEnd.REJECTED,
+            AttemptEnd.CONNECT_REFUSED,
+            AttemptEnd.CONNECT_TOO_LONG,
+            AttemptEnd.BROKE_BEFORE_LAST_BYTE,
+            AttemptEnd.TIMED_OUT_BEFORE_LAST_BYTE,
+            AttemptEnd.CANCELLED_BEFORE_LAST_BYTE,
+            AttemptEnd.TOO_LATE_TO_SEND,
+            AttemptEnd.REQUEST_OVER,
+            AttemptEnd.NODE_LEAVING,
+            AttemptEnd.NOT_TRIED),
         never);
-    assertEquals(How.CUT, End.BROKE_AFTER_LAST_BYTE.how());
-    assertEquals(How.TIMED_OUT, End.SILENT.how());
+    assertEquals(AttemptOutcome.CUT, AttemptEnd.BROKE_AFTER_LAST_BYTE.how());
+    assertEquals(AttemptOutcome.TIMED_OUT, AttemptEnd.SILENT.how());
   }
 
   @Test
-  void aBreakBeforeTheLastByteNeverRan() throws Command.Malformed {
-    Future<Pipe> side = dial(ANYWHERE);
+  void aBreakBeforeTheLastByteNeverRan() throws MetaCommand.Malformed {
+    Future<Connection> side = dial(ANYWHERE);
     dialled.get(0).writes = false;
-    new NodeLink(
-            to -> side, MetaWire::new, agenda, new Sockets(1), ANYWHERE, Duration.ofSeconds(11))
-        .send(passage());
+    new ConnectionPool(
+            to -> side,
+            MetaCodec::new,
+            timers,
+            new ConnectionLimit(1),
+            ANYWHERE,
+            Duration.ofSeconds(11))
+        .send(attempt());
     dialled.get(0).breaks();
     assertEquals(List.of("BROKE_BEFORE_LAST_BYTE"), ends);
   }
 
   @Test
-  void aBreakAfterTheLastByteMayHaveRun() throws Command.Malformed {
+  void aBreakAfterTheLastByteMayHaveRun() throws MetaCommand.Malformed {
     sent().breaks();
     assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends);
   }
 
   @Test
-  void aRefusedConnectionNeverRanAndGivesItsSocketBack() throws Command.Malformed {
-    Sockets sockets = new Sockets(1);
-    new NodeLink(
+  void aRefusedConnectionNeverRanAndGivesItsSocketBack() throws MetaCommand.Malformed {
+    ConnectionLimit sockets = new ConnectionLimit(1);
+    new ConnectionPool(
             to -> Future.failedFuture("refused"),
-            MetaWire::new,
-            agenda,
+            MetaCodec::new,
+            timers,
             sockets,
             ANYWHERE,
             Duration.ofSeconds(11))
-        .send(passage());
+        .send(attempt());
     assertEquals(List.of("CONNECT_REFUSED"), ends);
     assertTrue(sockets.take());
   }
 
   @Test
-  void anEndComesOnceWhateverFollows() throws Command.Malformed {
-    Passage passage = passage();
-    link(1).send(passage);
-    passage.withdraw();
-    passage.end(End.ANSWERED, Buffer.buffer());
-    assertEquals(List.of("WITHDRAWN"), ends);
+  void anEndComesOnceWhateverFollows() throws MetaCommand.Malformed {
+    Attempt attempt = attempt();
+    link(1).send(attempt);
+    attempt.cancel();
+    attempt.end(AttemptEnd.ANSWERED, Buffer.buffer());
+    assertEquals(List.of("CANCELLED"), ends);
     assertTrue(dialled.get(0).closed, "its answer could meet another command");
   }
 
   @Test
-  void aConnectionThatIsUpTooLateCarriesNothing() throws Command.Malformed {
-    Passage late = passage();
+  void aConnectionThatIsUpTooLateCarriesNothing() throws MetaCommand.Malformed {
+    Attempt late = attempt();
     after(60);
     link(1).send(late);
     assertEquals(List.of("TOO_LATE_TO_SEND"), ends);
@@ -98,21 +108,26 @@
    * Of a long value the rest would reach the node when it has forgotten what it is to be told from.
    */
   @Test
-  void whatIsNotWrittenWholeByTheLastTimeForSendingIsTakenBack() throws Command.Malformed {
-    Future<Pipe> side = dial(ANYWHERE);
+  void whatIsNotWrittenWholeByTheLastTimeForSendingIsTakenBack() throws MetaCommand.Malformed {
+    Future<Connection> side = dial(ANYWHERE);
     dialled.get(0).writes = false;
-    new NodeLink(
-            to -> side, MetaWire::new, agenda, new Sockets(1), ANYWHERE, Duration.ofSeconds(11))
-        .send(passage());
+    new ConnectionPool(
+            to -> side,
+            MetaCodec::new,
+            timers,
+            new ConnectionLimit(1),
+            ANYWHERE,
+            Duration.ofSeconds(11))
+        .send(attempt());
     after(50);
     assertEquals(List.of(), ends);
     after(10);
-    assertEquals(List.of("SILENT_BEFORE_LAST_BYTE"), ends);
+    assertEquals(List.of("TIMED_OUT_BEFORE_LAST_BYTE"), ends);
     assertTrue(dialled.get(0).closed);
   }
 
   @Test
-  void patienceEndsWithSilence() throws Command.Malformed {
+  void patienceEndsWithSilence() throws MetaCommand.Malformed {
     sent();
     nanos = Duration.ofMillis(400).toNanos();
     after(0);
@@ -120,7 +135,7 @@
   }
 
   @Test
-  void aValueGoesOnAsItCame() throws Command.Malformed {
+  void aValueGoesOnAsItCame() throws MetaCommand.Malformed {
     FakeConnection node = sent();
     node.gives("VA 2 Oa1 h");
     node.gives("1\r\n\r\n");
@@ -130,88 +145,87 @@
   }
 
   @Test
-  void anAnswerToAnotherAccessReachesNobody() throws Command.Malformed {
+  void anAnswerToAnotherRequestReachesNobody() throws MetaCommand.Malformed {
     sent().gives("VA 2 Ob2\r\nhi\r\n");
-    assertEquals(List.of("OUT_OF_STEP"), ends);
+    assertEquals(List.of("PROTOCOL_ERROR"), ends);
     assertTrue(dialled.get(0).closed);
   }
 
   @Test
-  void whatNodesSayIsToldApart() throws Command.Malformed {
+  void whatNodesSayIsToldApart() throws MetaCommand.Malformed {
     for (String line :
         new String[] {"EN Oa1", "SERVER_ERROR busy", "SERVER_ERROR failed", "HD Oa1 c9", "VA x"}) {
-      link(1).send(passage(line.startsWith("HD") ? "ms k1 1 Oa1 Pc=write" : READ));
+      link(1).send(attempt(line.startsWith("HD") ? "ms k1 1 Oa1 Pc=write" : READ));
       dialled.get(dialled.size() - 1).gives(line + "\r\n");
     }
     assertEquals(
-        List.of("NOTHING_STORED", "TURNED_AWAY", "FAILED", "ANSWERED HD Oa1 c9\r\n", "OUT_OF_STEP"),
-        ends);
+        List.of("MISS", "REJECTED", "FAILED", "ANSWERED HD Oa1 c9\r\n", "PROTOCOL_ERROR"), ends);
   }
 
   @Test
-  void aConnectionThatStoodIdleTooLongIsNotUsedAgain() throws Command.Malformed {
-    NodeLink link = link(2);
-    link.send(passage());
+  void aConnectionThatStoodIdleTooLongIsNotUsedAgain() throws MetaCommand.Malformed {
+    ConnectionPool link = link(2);
+    link.send(attempt());
     dialled.get(0).gives("EN Oa1\r\n");
-    link.send(passage());
+    link.send(attempt());
     assertEquals(2, dialled.size(), "more may stand behind the answer");
     dialled.get(1).gives("EN Oa1\r\n");
     after(2);
-    link.send(passage());
+    link.send(attempt());
     assertEquals(2, dialled.size(), "one that rests is used again");
     after(11_000);
     assertTrue(dialled.get(0).closed);
   }
 
   @Test
-  void connectionsIdleElsewhereMakeRoom() throws Command.Malformed {
-    Sockets sockets = new Sockets(1);
-    NodeLink one = link(sockets, MetaWire::new);
-    NodeLink other = link(sockets, MetaWire::new);
-    one.send(passage());
-    other.send(passage());
+  void connectionsIdleElsewhereMakeRoom() throws MetaCommand.Malformed {
+    ConnectionLimit sockets = new ConnectionLimit(1);
+    ConnectionPool one = link(sockets, MetaCodec::new);
+    ConnectionPool other = link(sockets, MetaCodec::new);
+    one.send(attempt());
+    other.send(attempt());
     assertEquals(List.of("NOT_TRIED"), ends, "what is out is not taken away");
     dialled.get(0).gives("EN Oa1\r\n");
-    other.send(passage());
+    other.send(attempt());
     assertTrue(dialled.get(0).closed);
     assertEquals(2, dialled.size());
   }
 
   @Test
-  void theModuleClosesWhatIdlesAtOneNodeAndNothingElse() throws Command.Malformed {
+  void theModuleClosesWhatIdlesAtOneNodeAndNothingElse() throws MetaCommand.Malformed {
     nodes("n1", "n2");
-    links.send(Command.hash("n1"), passage());
-    links.send(Command.hash("n2"), passage());
+    pools.send(MetaCommand.hash("n1"), attempt());
+    pools.send(MetaCommand.hash("n2"), attempt());
     dialled.get(0).gives("EN Oa1\r\n");
-    links.send(Command.hash("n1"), passage());
-    desk.closeIdle(Command.hash("n1"));
+    pools.send(MetaCommand.hash("n1"), attempt());
+    driver.closeIdle(MetaCommand.hash("n1"));
     assertTrue(dialled.get(0).closed);
     assertFalse(dialled.get(1).closed || dialled.get(2).closed, "what is out goes on");
   }
 
   @Test
-  void closingWhatStandsIdleKeepsTheWayToTheNode() throws Command.Malformed {
+  void closingWhatStandsIdleKeepsTheWayToTheNode() throws MetaCommand.Malformed {
     nodes("n1");
-    links.send(Command.hash("n1"), passage());
+    pools.send(MetaCommand.hash("n1"), attempt());
     dialled.get(0).gives("EN Oa1\r\n");
-    links.closeIdle();
+    pools.closeIdle();
     assertTrue(dialled.get(0).closed);
-    links.send(Command.hash("n1"), passage());
+    pools.send(MetaCommand.hash("n1"), attempt());
     assertEquals(2, dialled.size());
-    assertEquals(List.of("NOTHING_STORED"), ends, "the second is out");
+    assertEquals(List.of("MISS"), ends, "the second is out");
   }
 
   @Test
-  void moreThanAnAnswerMeetsNoOtherCommand() throws Command.Malformed {
+  void moreThanAnAnswerMeetsNoOtherCommand() throws MetaCommand.Malformed {
     for (String more : new String[] {"VA 2 Oa1\r\nhi\r\n", "?", "\r\n"}) {
-      NodeLink link = link(2);
-      link.send(passage());
+      ConnectionPool link = link(2);
+      link.send(attempt());
       FakeConnection node = dialled.get(dialled.size() - 1);
       node.gives("VA 2 Oa1\r\nhi\r\n" + more);
       assertTrue(node.closed);
     }
     assertEquals(Set.of("ANSWERED VA 2 Oa1\r\nhi\r\n"), Set.copyOf(ends));
-    link(1).send(passage());
+    link(1).send(attempt());
     FakeConnection later = dialled.get(dialled.size() - 1);
     later.gives("EN Oa1\r\n");
     later.gives("?");
@@ -219,7 +233,7 @@
   }
 
   @Test
-  void anAnswerThatStopsHalfWayIsNotWaitedFor() throws Command.Malformed {
+  void anAnswerThatStopsHalfWayIsNotWaitedFor() throws MetaCommand.Malformed {
     FakeConnection node = sent();
     node.gives("VA 9 Oa1\r\nhi");
     after(100);
@@ -227,35 +241,35 @@
     after(100);
     assertEquals(List.of(), ends);
     after(100);
-    assertEquals(List.of("OUT_OF_STEP"), ends);
+    assertEquals(List.of("PROTOCOL_ERROR"), ends);
     assertTrue(node.closed);
   }
 
   @Test
-  void anAnswerOfAnotherKindOrCutOffByTheEndReachesNobody() throws Command.Malformed {
+  void anAnswerOfAnotherKindOrCutOffByTheEndReachesNobody() throws MetaCommand.Malformed {
     sent().gives("HD Oa1 c9\r\n");
-    link(1).send(passage());
+    link(1).send(attempt());
     dialled.get(1).gives("VA 2 Oa1\r\nhi\r");
     dialled.get(1).breaks();
-    assertEquals(List.of("OUT_OF_STEP", "BROKE_AFTER_LAST_BYTE"), ends);
+    assertEquals(List.of("PROTOCOL_ERROR", "BROKE_AFTER_LAST_BYTE"), ends);
   }
 
   @Test
-  void ofAGoneNodeNothingIsKept() throws Command.Malformed {
+  void ofAGoneNodeNothingIsKept() throws MetaCommand.Malformed {
     nodes("n1");
-    links.send(Command.hash("n1"), passage());
-    links.gone(Command.hash("n1"));
+    pools.send(MetaCommand.hash("n1"), attempt());
+    pools.gone(MetaCommand.hash("n1"));
     dialled.get(0).gives("EN Oa1\r\n");
-    assertEquals(List.of("NOTHING_STORED"), ends, "what is out ends by itself");
+    assertEquals(List.of("MISS"), ends, "what is out ends by itself");
     assertTrue(dialled.get(0).closed);
   }
 
   @Test
-  void aNodeStartedAnewIsMetOnNewConnections() throws Command.Malformed {
+  void aNodeStartedAnewIsMetOnNewConnections() throws MetaCommand.Malformed {
     nodes("n1");
-    links.send(Command.hash("n1"), passage());
+    pools.send(MetaCommand.hash("n1"), attempt());
     dialled.get(0).gives("EN Oa1\r\n");
-    links.listed(Command.hash("n1"), new Member("n1", ANYWHERE, Standing.READY, 7, 0, 0, 0));
+    pools.update(new Endpoint("n1", ANYWHERE, EndpointState.READY, 7, 0, 0, 0));
     assertTrue(dialled.get(0).closed);
   }
 }
--- a/src/test/java/pathgw/net/OriginConnectionTest.java
+++ b/src/test/java/pathgw/upstream/OriginConnectionTest.java
@@ -1,24 +1,27 @@
-package pathgw.net;
+package pathgw.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathgw.codec.HttpOriginCodec;
+import pathgw.codec.MetaCommand;
+import pathgw.transport.FakeConnection;
 
 /** Attempts at the origin over HTTP. */
 class OriginConnectionTest extends PoolFixture {
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
 
   /** What one answer of the origin becomes, and whether its connection is kept. */
-  private String origin(String command, String answer) throws Command.Malformed {
-    link(new Sockets(1), () -> new HttpWire(ANYWHERE)).send(passage(command));
+  private String origin(String command, String answer) throws MetaCommand.Malformed {
+    link(new ConnectionLimit(1), () -> new HttpOriginCodec(ANYWHERE)).send(attempt(command));
     FakeConnection origin = dialled.get(dialled.size() - 1);
     origin.gives(answer);
     return (ends.isEmpty() ? "nothing" : ends.remove(0)) + (origin.closed ? " closed" : "");
   }
 
   @Test
-  void theOriginIsAskedOverHttp() throws Command.Malformed {
+  void theOriginIsAskedOverHttp() throws MetaCommand.Malformed {
     assertEquals("ANSWERED VA 2 Oa1\r\nhi\r\n", origin(READ, OK));
     assertEquals(
         "GET /k1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Txn: a1\r\n"
@@ -30,13 +33,13 @@
             + "Content-Length: 1\r\n\r\nv",
         dialled.get(1).written.toString());
     assertEquals(
-        "TURNED_AWAY",
+        "REJECTED",
         origin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"));
     assertEquals("FAILED", origin(READ, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"));
   }
 
   @Test
-  void whatStandsAheadOfOrBehindTheOriginsAnswerIsNoAnswer() throws Command.Malformed {
+  void whatStandsAheadOfOrBehindTheOriginsAnswerIsNoAnswer() throws MetaCommand.Malformed {
     String value = "ANSWERED VA 2 Oa1\r\nhi\r\n";
     assertEquals(
         value,
@@ -53,7 +56,7 @@
 
   /** A reset is no end: with no length, what came before it may be half of what there is. */
   @Test
-  void anAnswerWithoutLengthIsWholeOnlyWhereItsConnectionEndsWell() throws Command.Malformed {
+  void anAnswerWithoutLengthIsWholeOnlyWhereItsConnectionEndsWell() throws MetaCommand.Malformed {
     String head = "HTTP/1.1 200 OK\r\nX-Txn: a1\r\n\r\n";
     assertEquals("nothing", origin(READ, head + "h"));
     dialled.get(0).gives("i");
@@ -68,8 +71,9 @@
     dialled.get(2).ends();
     assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends, "not even its head was whole");
     ends.clear();
-    assertEquals("TURNED_AWAY closed", origin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n\r\n"));
-    assertEquals("OUT_OF_STEP closed", origin(READ, head + "x".repeat(Command.LONGEST_ANSWER + 1)));
+    assertEquals("REJECTED closed", origin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n\r\n"));
+    assertEquals(
+        "PROTOCOL_ERROR closed", origin(READ, head + "x".repeat(MetaCommand.LONGEST_ANSWER + 1)));
     assertEquals(
         "ANSWERED VA 2 Oa1\r\nhi\r\n closed",
         origin(READ, OK.replace("Con", "Connection: close\r\nCon")),
@@ -77,17 +81,17 @@
   }
 
   @Test
-  void theOriginMayAnswerInChunks() throws Command.Malformed {
+  void theOriginMayAnswerInChunks() throws MetaCommand.Malformed {
     String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     assertEquals(
         "ANSWERED VA 4 Oa1\r\nhi\r\n\r\n",
         origin(READ, head + "1;x\r\nh\r\n3\r\ni\r\n\r\n0\r\nT: x\r\n\r\n"));
     assertEquals(
-        "OUT_OF_STEP closed", origin(READ, head + "5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"));
+        "PROTOCOL_ERROR closed", origin(READ, head + "5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"));
   }
 
   @Test
-  void aSpoiltAnswerOfTheOriginReachesNobody() throws Command.Malformed {
+  void aSpoiltAnswerOfTheOriginReachesNobody() throws MetaCommand.Malformed {
     for (String answer :
         new String[] {
           "noise\r\n\r\n",
@@ -100,8 +104,8 @@
           OK.replace("2\r", "3000000000\r") + "x".repeat(1_100_000),
           OK.replace("Con", "X-Txn: b2\r\nCon")
         }) {
-      assertEquals("OUT_OF_STEP closed", origin(READ, answer), answer.substring(0, 9));
+      assertEquals("PROTOCOL_ERROR closed", origin(READ, answer), answer.substring(0, 9));
     }
-    assertEquals("OUT_OF_STEP closed", origin("ms k 1 Ob2 Pc=write", OK.replace("hi", "\r\n")));
+    assertEquals("PROTOCOL_ERROR closed", origin("ms k 1 Ob2 Pc=write", OK.replace("hi", "\r\n")));
   }
 }
