--- a/src/main/java/pathgw/decision/AttemptOutcome.java
+++ b/src/main/java/pathgw/decision/AttemptOutcome.java
@@ -2,22 +2,22 @@
 
 /** How an attempt ended. */
 public enum AttemptOutcome {
-  DELIVERED,
+  SERVED,
   ERROR,
-  FULL,
+  REJECTED,
   TIMED_OUT,
-  NO_CONNECTION,
-  CUT,
+  CONNECT_FAILED,
+  CONNECTION_LOST,
   CANCELLED,
   NOT_SENT,
   MISS;
 
   /** Whether it ended by an answer or for want of one, neither early nor by chance. */
   boolean measuresLatency() {
-    return this == DELIVERED || this == TIMED_OUT || this == CANCELLED;
+    return this == SERVED || this == TIMED_OUT || this == CANCELLED;
   }
 
   public boolean neverRan() {
-    return this == FULL || this == NO_CONNECTION || this == NOT_SENT || this == MISS;
+    return this == REJECTED || this == CONNECT_FAILED || this == NOT_SENT || this == MISS;
   }
 }
--- a/src/main/java/pathgw/decision/DecisionSink.java
+++ b/src/main/java/pathgw/decision/DecisionSink.java
@@ -5,7 +5,7 @@
 /** What a decision of {@link DecisionEngine} becomes; a front carries each call out at once. */
 public interface DecisionSink {
   /**
-   * Attempts of a request are idempotency-keyed 0, 1, 2 ... in the order of these calls.
+   * Attempts of a request are numbered 0, 1, 2 ... in the order of these calls.
    *
    * @param sendWithin not written by then it must not be written at all, and counts as never sent
    */
--- a/src/main/java/pathgw/decision/Settings.java
+++ b/src/main/java/pathgw/decision/Settings.java
@@ -48,7 +48,7 @@
     AT_MOST_ONCE
   }
 
-  /** Which cache nodes drop the repeats of a idempotency-keyed request. */
+  /** Which cache nodes drop the repeats of an idempotency-keyed request. */
   public enum Group {
     ALL,
     ZONE,
@@ -58,7 +58,7 @@
   /**
    * One class of requests.
    *
-   * @param memory how long the group remembers a idempotency-keyed request
+   * @param memory how long the group remembers an idempotency-keyed request
    * @param lateWeight the share of the priority weight left after the latency objective
    */
   public record RequestClass(
--- a/src/main/java/pathgw/fake/ClientAttempt.java
+++ b/src/main/java/pathgw/fake/ClientAttempt.java
@@ -6,7 +6,7 @@
  * One try of a client.
  *
  * @param id new with every try
- * @param mark what a idempotency-keyed request is known by, the same with every try; empty
+ * @param mark what an idempotency-keyed request is known by, the same with every try; empty
  *     otherwise
  * @param first when the client first asked
  * @param at when this try was written whole
--- a/src/main/java/pathgw/fake/FakeClients.java
+++ b/src/main/java/pathgw/fake/FakeClients.java
@@ -24,7 +24,7 @@
   /**
    * One class of requests.
    *
-   * @param repeats whether clients try a idempotency-keyed request again after any failure
+   * @param repeats whether clients try an idempotency-keyed request again after any failure
    * @param part of all requests
    */
   public record RequestClass(
--- a/src/main/java/pathgw/request/RequestHandler.java
+++ b/src/main/java/pathgw/request/RequestHandler.java
@@ -81,14 +81,14 @@
                         sendWithin,
                         (end, answer) -> {
                           observer.ended(command.id, end.name());
-                          if (end.how() == AttemptOutcome.DELIVERED && !state.answered) {
+                          if (end.how() == AttemptOutcome.SERVED && !state.answered) {
                             answer(state, "delivered", () -> response.answer(answer));
                           }
                           boolean over = state.answered;
                           Duration lag = timers.now().minus(sent);
                           driver.tell(
                               module -> {
-                                module.outcome(state.id, number, end.how(), lag, over);
+                                module.attemptEnded(state.id, number, end.how(), lag, over);
                                 forget(state);
                               });
                         });
@@ -134,7 +134,7 @@
             });
     driver.tell(
         module ->
-            module.request(
+            module.requestArrived(
                 state.id,
                 command.requestClass,
                 command.tenant,
@@ -150,7 +150,7 @@
   }
 
   private void lapse(State state, Runnable what) {
-    end(state, "lapsed", what, module -> module.lapsed(state.id));
+    end(state, "lapsed", what, module -> module.requestAbandoned(state.id));
   }
 
   private void end(State state, String how, Runnable what, Consumer<DecisionEngine> input) {
--- a/src/main/java/pathgw/upstream/AttemptEnd.java
+++ b/src/main/java/pathgw/upstream/AttemptEnd.java
@@ -8,16 +8,16 @@
  * Whether it may have run turns on one thing: was its last byte written before the connection went?
  */
 public enum AttemptEnd {
-  ANSWERED(AttemptOutcome.DELIVERED),
+  ANSWERED(AttemptOutcome.SERVED),
   MISS(AttemptOutcome.MISS),
   FAILED(AttemptOutcome.ERROR),
-  REJECTED(AttemptOutcome.FULL),
-  CONNECT_REFUSED(AttemptOutcome.NO_CONNECTION),
-  CONNECT_TOO_LONG(AttemptOutcome.NO_CONNECTION),
-  BROKE_BEFORE_LAST_BYTE(AttemptOutcome.NO_CONNECTION),
-  BROKE_AFTER_LAST_BYTE(AttemptOutcome.CUT),
+  REJECTED(AttemptOutcome.REJECTED),
+  CONNECT_REFUSED(AttemptOutcome.CONNECT_FAILED),
+  CONNECT_TOO_LONG(AttemptOutcome.CONNECT_FAILED),
+  BROKE_BEFORE_LAST_BYTE(AttemptOutcome.CONNECT_FAILED),
+  BROKE_AFTER_LAST_BYTE(AttemptOutcome.CONNECTION_LOST),
   /** What came is no answer to this request, whatever it is; the connection is closed. */
-  PROTOCOL_ERROR(AttemptOutcome.CUT),
+  PROTOCOL_ERROR(AttemptOutcome.CONNECTION_LOST),
   SILENT(AttemptOutcome.TIMED_OUT),
   TIMED_OUT_BEFORE_LAST_BYTE(AttemptOutcome.NOT_SENT),
   CANCELLED(AttemptOutcome.CANCELLED),
--- a/src/test/java/pathgw/decision/ColdStartFleet.java
+++ b/src/test/java/pathgw/decision/ColdStartFleet.java
@@ -65,7 +65,7 @@
         fixture.at(ms);
       }
       for (long[] answered : out.get(step)) {
-        beds.get((int) answered[0]).outcome(answered[1], 0, AttemptOutcome.DELIVERED, ANSWER_MS);
+        beds.get((int) answered[0]).attemptEnded(answered[1], 0, AttemptOutcome.SERVED, ANSWER_MS);
       }
       boolean first = step == 0;
       boolean moment = ms >= quietMs && ms < quietMs + STEP_MS;
@@ -80,7 +80,7 @@
         for (int i = 0; i < come; i++) {
           long id = ++ids;
           int before = fixture.sentTo.size();
-          fixture.decide.request(
+          fixture.decide.requestArrived(
               id,
               0,
               0,
--- a/src/test/java/pathgw/decision/DecisionEngineFixture.java
+++ b/src/test/java/pathgw/decision/DecisionEngineFixture.java
@@ -130,8 +130,8 @@
     return this;
   }
 
-  DecisionEngineFixture request(long id, long key) {
-    decide.request(id, 0, 0, key, ms(1000), START, false, false);
+  DecisionEngineFixture requestArrived(long id, long key) {
+    decide.requestArrived(id, 0, 0, key, ms(1000), START, false, false);
     return this;
   }
 
@@ -145,17 +145,17 @@
   }
 
   DecisionEngineFixture asks(long id, int requestClass, int tenant, long key) {
-    decide.request(id, requestClass, tenant, key, now.plus(ms(5000)), START, false, false);
+    decide.requestArrived(id, requestClass, tenant, key, now.plus(ms(5000)), START, false, false);
     return pull();
   }
 
-  DecisionEngineFixture outcome(long id, int number, AttemptOutcome how, long lag) {
-    decide.outcome(id, number, how, ms(lag), how == AttemptOutcome.DELIVERED);
+  DecisionEngineFixture attemptEnded(long id, int number, AttemptOutcome how, long lag) {
+    decide.attemptEnded(id, number, how, ms(lag), how == AttemptOutcome.SERVED);
     return pull();
   }
 
-  DecisionEngineFixture outcome(long id, int number, AttemptOutcome how) {
-    decide.outcome(id, number, how, ms(5), how == AttemptOutcome.DELIVERED);
+  DecisionEngineFixture attemptEnded(long id, int number, AttemptOutcome how) {
+    decide.attemptEnded(id, number, how, ms(5), how == AttemptOutcome.SERVED);
     return this;
   }
 
--- a/src/test/java/pathgw/decision/DecisionEngineTest.java
+++ b/src/test/java/pathgw/decision/DecisionEngineTest.java
@@ -16,7 +16,7 @@
 class DecisionEngineTest {
   private static long nodeOf(long key, long... list) {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(list).request(1, key).pull();
+        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(list).requestArrived(1, key).pull();
     return fixture.sentTo.get(0);
   }
 
@@ -58,7 +58,7 @@
     for (long key = 1; key <= 20; key++) {
       DecisionEngineFixture fixture =
           new DecisionEngineFixture(false, Effect.IDEMPOTENT, Group.ALL, List.of()).list(0, 1, 2);
-      assertNotEquals(0L, fixture.request(1, key).pull().sentTo.get(0));
+      assertNotEquals(0L, fixture.requestArrived(1, key).pull().sentTo.get(0));
     }
   }
 
@@ -67,7 +67,7 @@
     DecisionEngineFixture fixture =
         DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2, 3, 4, 5);
     for (long id = 1; id <= 30; id++) {
-      fixture.request(id, 8).pull().outcome(id, 0, AttemptOutcome.DELIVERED).pull();
+      fixture.requestArrived(id, 8).pull().attemptEnded(id, 0, AttemptOutcome.SERVED).pull();
     }
     assertTrue(fixture.sentTo.stream().distinct().count() > 1);
     DecisionEngineFixture rare =
@@ -75,7 +75,7 @@
     for (int id = 1; id <= 200; id++) {
       rare.at(id * 200L)
           .decide
-          .request(
+          .requestArrived(
               id,
               0,
               0,
@@ -84,7 +84,7 @@
               DecisionEngineFixture.START,
               false,
               false);
-      rare.pull().outcome(id, 0, AttemptOutcome.DELIVERED).pull();
+      rare.pull().attemptEnded(id, 0, AttemptOutcome.SERVED).pull();
     }
     assertEquals(
         1,
@@ -97,8 +97,8 @@
   @Test
   void atMostOnceIsNeitherResentNorDeniedOnceItMayHaveRun() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.through(Effect.AT_MOST_ONCE).list(1, 2).request(1, 8).pull();
-    fixture.outcome(1, 0, AttemptOutcome.TIMED_OUT).pull();
+        DecisionEngineFixture.through(Effect.AT_MOST_ONCE).list(1, 2).requestArrived(1, 8).pull();
+    fixture.attemptEnded(1, 0, AttemptOutcome.TIMED_OUT).pull();
     assertEquals(1, fixture.count("hand-off"));
     assertEquals(0, fixture.count("deny"));
     assertEquals(1, fixture.count("write-off"));
@@ -107,16 +107,19 @@
   @Test
   void atMostOnceIsResentAfterAConnectFailure() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.through(Effect.AT_MOST_ONCE).list(1, 2).request(1, 8).pull();
-    fixture.outcome(1, 0, AttemptOutcome.NO_CONNECTION).pull();
+        DecisionEngineFixture.through(Effect.AT_MOST_ONCE).list(1, 2).requestArrived(1, 8).pull();
+    fixture.attemptEnded(1, 0, AttemptOutcome.CONNECT_FAILED).pull();
     assertEquals(2, fixture.sentTo.stream().distinct().count());
   }
 
   @Test
   void numberedIsNotResentPastItsMemory() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.through(Effect.IDEMPOTENCY_KEYED).list(1, 2).request(1, 8).pull();
-    fixture.at(390).outcome(1, 0, AttemptOutcome.CUT).pull();
+        DecisionEngineFixture.through(Effect.IDEMPOTENCY_KEYED)
+            .list(1, 2)
+            .requestArrived(1, 8)
+            .pull();
+    fixture.at(390).attemptEnded(1, 0, AttemptOutcome.CONNECTION_LOST).pull();
     assertEquals(1, fixture.count("hand-off"));
     assertEquals(1, fixture.count("deny"));
   }
@@ -126,9 +129,9 @@
     DecisionEngineFixture fixture =
         new DecisionEngineFixture(true, Effect.IDEMPOTENCY_KEYED, Group.ZONE, List.of())
             .list(1, 2)
-            .request(1, 8)
+            .requestArrived(1, 8)
             .pull();
-    fixture.at(10).outcome(1, 0, AttemptOutcome.CUT).pull();
+    fixture.at(10).attemptEnded(1, 0, AttemptOutcome.CONNECTION_LOST).pull();
     assertEquals(1, fixture.count("hand-off"));
     assertEquals(1, fixture.count("write-off"));
   }
@@ -139,7 +142,7 @@
         DecisionEngineFixture.through(Effect.IDEMPOTENT)
             .list(1)
             .change(1, EndpointState.DRAINING, null);
-    fixture.request(1, 8).pull();
+    fixture.requestArrived(1, 8).pull();
     assertEquals(0, fixture.count("hand-off"));
     assertEquals(1, fixture.count("deny"));
   }
@@ -155,7 +158,7 @@
     fixture
         .at(5900)
         .decide
-        .request(
+        .requestArrived(
             1, 0, 0, 8, DecisionEngineFixture.ms(6900), DecisionEngineFixture.START, false, false);
     fixture.pull();
     assertNotEquals(0L, fixture.sentTo.get(0));
@@ -166,13 +169,13 @@
     fixture
         .at(6000)
         .decide
-        .request(
+        .requestArrived(
             2, 0, 0, 9, DecisionEngineFixture.ms(7000), DecisionEngineFixture.START, false, false);
     fixture.pull();
     assertEquals(
         List.of(0L), fixture.sentTo.subList(1, 2), "the origin leaves nobody without a word");
     fixture.decide.leaseEndpointsUntil(DecisionEngineFixture.ms(12_000));
-    fixture.decide.request(
+    fixture.decide.requestArrived(
         3, 0, 0, 8, DecisionEngineFixture.ms(7000), DecisionEngineFixture.START, false, false);
     fixture.pull();
     assertEquals(fixture.sentTo.get(0), fixture.sentTo.get(2), "service is whole at once");
@@ -182,11 +185,16 @@
   void withoutAProvenListNobodyIsHeldBack() {
     DecisionEngineFixture fixture = DecisionEngineFixture.oneOf(1, false, 7, List.of()).list(1, 2);
     fixture.decide.leaseEndpointsUntil(DecisionEngineFixture.START);
-    fixture.request(1, 8).request(2, 8).pull();
+    fixture.requestArrived(1, 8).requestArrived(2, 8).pull();
     assertEquals(List.of("deny 1", "deny 2"), fixture.said);
     DecisionEngineFixture waits = DecisionEngineFixture.oneOf(1, false, 7, List.of()).list(0, 1, 2);
     waits.decide.leaseEndpointsUntil(DecisionEngineFixture.START);
-    waits.request(1, 8).request(2, 8).pull().outcome(1, 0, AttemptOutcome.DELIVERED).pull();
+    waits
+        .requestArrived(1, 8)
+        .requestArrived(2, 8)
+        .pull()
+        .attemptEnded(1, 0, AttemptOutcome.SERVED)
+        .pull();
     assertEquals(List.of(0L, 0L), waits.sentTo, "who waited for a fetch goes on by its own");
   }
 
@@ -208,9 +216,9 @@
   @Test
   void everyRequestEndsOnceBeforeItsLimit() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2).request(1, 8).pull();
+        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2).requestArrived(1, 8).pull();
     fixture.at(999).pull();
-    fixture.outcome(1, 0, AttemptOutcome.TIMED_OUT).pull();
+    fixture.attemptEnded(1, 0, AttemptOutcome.TIMED_OUT).pull();
     assertEquals(1, fixture.count("deny"));
     assertEquals(1, fixture.count("hand-off"));
   }
@@ -223,7 +231,7 @@
             .change(1, EndpointState.READY, Duration.ofMillis(-10));
     fixture.change(2, EndpointState.GONE, null);
     for (long id = 1; id <= 100; id++) {
-      fixture.request(id, id).pull();
+      fixture.requestArrived(id, id).pull();
     }
     assertTrue(fixture.count("hand-off") < 10);
     assertEquals(100, fixture.count("hand-off") + fixture.count("deny"));
@@ -237,7 +245,7 @@
             .change(1, EndpointState.READY, Duration.ofMillis(-10));
     fixture.change(2, EndpointState.GONE, null);
     for (long id = 1; id <= 2000; id++) {
-      fixture.at(id).request(id, id).pull();
+      fixture.at(id).requestArrived(id, id).pull();
     }
     assertTrue(fixture.count("hand-off") < 20);
   }
@@ -246,11 +254,11 @@
   void requestsThatMissOnOneKeyShareAFetchAndAskTheCacheAgain() {
     DecisionEngineFixture fixture =
         new DecisionEngineFixture(false, Effect.IDEMPOTENT, Group.ALL, List.of()).list(0, 1, 2);
-    fixture.request(1, 8).request(2, 8).pull();
-    fixture.outcome(1, 0, AttemptOutcome.MISS).outcome(2, 0, AttemptOutcome.MISS).pull();
+    fixture.requestArrived(1, 8).requestArrived(2, 8).pull();
+    fixture.attemptEnded(1, 0, AttemptOutcome.MISS).attemptEnded(2, 0, AttemptOutcome.MISS).pull();
     assertEquals(3, fixture.sentTo.size());
     assertEquals(0L, fixture.sentTo.get(2));
-    fixture.outcome(1, 1, AttemptOutcome.DELIVERED).pull();
+    fixture.attemptEnded(1, 1, AttemptOutcome.SERVED).pull();
     assertEquals(fixture.sentTo.get(1), fixture.sentTo.get(3));
   }
 
@@ -259,10 +267,10 @@
     DecisionEngineFixture fixture =
         DecisionEngineFixture.oneOf(1, false, 7, List.of())
             .list(0, 1, 2)
-            .request(1, 8)
-            .request(2, 8)
+            .requestArrived(1, 8)
+            .requestArrived(2, 8)
             .pull();
-    fixture.outcome(1, 0, AttemptOutcome.MISS).outcome(2, 0, AttemptOutcome.MISS).pull();
+    fixture.attemptEnded(1, 0, AttemptOutcome.MISS).attemptEnded(2, 0, AttemptOutcome.MISS).pull();
     assertEquals(3, fixture.sentTo.size());
     fixture.at(400).pull();
     assertEquals(List.of(0L, 0L), fixture.sentTo.subList(2, 4));
@@ -273,42 +281,42 @@
     DecisionEngineFixture fixture =
         DecisionEngineFixture.oneOf(1, false, 7, List.of())
             .list(0, 1, 2)
-            .request(1, 8)
-            .request(2, 8)
+            .requestArrived(1, 8)
+            .requestArrived(2, 8)
             .pull();
-    fixture.outcome(1, 0, AttemptOutcome.MISS).outcome(2, 0, AttemptOutcome.MISS).pull();
-    fixture.decide.lapsed(1);
-    fixture.outcome(1, 1, AttemptOutcome.CANCELLED).pull();
+    fixture.attemptEnded(1, 0, AttemptOutcome.MISS).attemptEnded(2, 0, AttemptOutcome.MISS).pull();
+    fixture.decide.requestAbandoned(1);
+    fixture.attemptEnded(1, 1, AttemptOutcome.CANCELLED).pull();
     assertEquals(List.of(0L, 0L), fixture.sentTo.subList(2, 4));
   }
 
   @Test
   void aConnectFailureDropsTheNodeUntilTheNextListAndAsksForOne() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2).request(1, 8).pull();
+        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2).requestArrived(1, 8).pull();
     long top = fixture.sentTo.get(0);
     fixture
-        .outcome(1, 0, AttemptOutcome.NO_CONNECTION)
+        .attemptEnded(1, 0, AttemptOutcome.CONNECT_FAILED)
         .pull()
-        .outcome(1, 1, AttemptOutcome.DELIVERED)
-        .request(2, 8)
+        .attemptEnded(1, 1, AttemptOutcome.SERVED)
+        .requestArrived(2, 8)
         .pull();
     assertEquals(1, fixture.count("fetch list"));
     assertNotEquals(top, fixture.sentTo.get(2));
-    fixture.list(1, 2).request(3, 8).pull();
+    fixture.list(1, 2).requestArrived(3, 8).pull();
     assertEquals(top, fixture.sentTo.get(3));
   }
 
   @Test
   void lateAndUnknownOutcomesAreIgnored() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2).request(1, 8).pull();
+        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2).requestArrived(1, 8).pull();
     List<String> before = List.copyOf(fixture.said);
     fixture
-        .outcome(1, 0, AttemptOutcome.DELIVERED)
-        .outcome(1, 0, AttemptOutcome.DELIVERED)
-        .outcome(5, 0, AttemptOutcome.CUT);
-    fixture.outcome(1, 3, AttemptOutcome.CUT).decide.lapsed(77);
+        .attemptEnded(1, 0, AttemptOutcome.SERVED)
+        .attemptEnded(1, 0, AttemptOutcome.SERVED)
+        .attemptEnded(5, 0, AttemptOutcome.CONNECTION_LOST);
+    fixture.attemptEnded(1, 3, AttemptOutcome.CONNECTION_LOST).decide.requestAbandoned(77);
     assertEquals(before, fixture.pull().said);
   }
 
@@ -319,7 +327,7 @@
             .list(0, 1, 2, 3);
     for (int id = 1; id <= 40; id++) {
       fixture.at(id * 100L);
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id,
           0,
           0,
@@ -330,9 +338,9 @@
           false);
       fixture
           .pull()
-          .outcome(id, 0, AttemptOutcome.MISS)
+          .attemptEnded(id, 0, AttemptOutcome.MISS)
           .pull()
-          .outcome(id, 1, AttemptOutcome.CUT)
+          .attemptEnded(id, 1, AttemptOutcome.CONNECTION_LOST)
           .pull();
     }
     return fixture;
@@ -342,7 +350,7 @@
   void anOverShareTenantsRepeatsGiveWayToItsFirstTries() {
     DecisionEngineFixture fixture = overloaded();
     for (int i = 0; i < 50; i++) {
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           100 + i,
           0,
           0,
@@ -355,7 +363,7 @@
     long repeats = fixture.pull().said.stream().filter(s -> s.matches("hand-off 1\\d\\d")).count();
     assertTrue(repeats <= 2, repeats + " of 50 repeats");
     for (int i = 0; i < 50; i++) {
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           200 + i,
           0,
           0,
@@ -368,7 +376,7 @@
     long firsts = fixture.pull().said.stream().filter(s -> s.matches("hand-off 2\\d\\d")).count();
     assertTrue(firsts > 2 * repeats, firsts + " of 50 first tries");
     for (int i = 0; i < 5; i++) {
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           300 + i,
           0,
           1,
@@ -387,7 +395,7 @@
     long id = 40;
     long first = id + 1;
     for (int i = 0; i < 4; i++) {
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           ++id,
           0,
           i % 2,
@@ -413,7 +421,7 @@
         fixture.said.clear();
       }
       fixture.at(id * 100L);
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id,
           0,
           id % 8 / 7,
@@ -422,7 +430,7 @@
           DecisionEngineFixture.START,
           false,
           false);
-      fixture.pull().outcome(id, 0, AttemptOutcome.DELIVERED, id % lateEach == 0 ? 200 : 5);
+      fixture.pull().attemptEnded(id, 0, AttemptOutcome.SERVED, id % lateEach == 0 ? 200 : 5);
     }
     return fixture;
   }
@@ -465,7 +473,7 @@
     fixture.at(14_000).pull().said.clear();
     for (int id = 101; id <= 220; id++) {
       fixture.at(14_000 + id * 100);
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id,
           0,
           0,
@@ -474,7 +482,7 @@
           DecisionEngineFixture.START,
           false,
           false);
-      fixture.pull().outcome(id, 0, AttemptOutcome.DELIVERED, id % 6 == 0 ? 200 : 5);
+      fixture.pull().attemptEnded(id, 0, AttemptOutcome.SERVED, id % 6 == 0 ? 200 : 5);
     }
     assertTrue(
         fixture.count("deny") <= 4,
@@ -486,7 +494,7 @@
     DecisionEngineFixture fixture = DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2, 3);
     for (long id = 1; id <= 60; id++) {
       fixture.at(id * 200L);
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id,
           0,
           0,
@@ -498,11 +506,11 @@
       fixture
           .pull()
           .decide
-          .outcome(
-              id, 0, AttemptOutcome.DELIVERED, DecisionEngineFixture.ms(id < 10 ? 5 : 290), true);
+          .attemptEnded(
+              id, 0, AttemptOutcome.SERVED, DecisionEngineFixture.ms(id < 10 ? 5 : 290), true);
     }
     for (long id = 100; id < 110; id++) {
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id, 0, 0, id, DecisionEngineFixture.ms(13000), DecisionEngineFixture.START, false, false);
     }
     fixture.pull();
@@ -518,7 +526,7 @@
     int kept = 0;
     for (long id = 1; id <= 400; id++) {
       fixture.at(id * 10);
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id,
           0,
           0,
@@ -532,8 +540,8 @@
       boolean toFrozen = fixture.sentTo.size() > before && fixture.sentTo.get(before) == frozen;
       kept += id > 200 && toFrozen ? 1 : 0;
       fixture
-          .outcome(id, 0, toFrozen ? AttemptOutcome.CUT : AttemptOutcome.DELIVERED)
-          .outcome(id, 1, AttemptOutcome.DELIVERED)
+          .attemptEnded(id, 0, toFrozen ? AttemptOutcome.CONNECTION_LOST : AttemptOutcome.SERVED)
+          .attemptEnded(id, 1, AttemptOutcome.SERVED)
           .pull();
     }
     assertTrue(kept > 0 && kept < 60, "kept " + kept);
@@ -542,10 +550,10 @@
   @Test
   void aTryThatComesPastItsFirstTrysGoalIsDeniedWhereLateEarnsNothing() {
     DecisionEngineFixture fixture = DecisionEngineFixture.through(Effect.IDEMPOTENT, 0).list(1, 2);
-    fixture.decide.request(
+    fixture.decide.requestArrived(
         1, 0, 0, 1, DecisionEngineFixture.ms(900), DecisionEngineFixture.START, false, false);
     fixture.pull().at(800);
-    fixture.decide.request(
+    fixture.decide.requestArrived(
         2, 0, 0, 1, DecisionEngineFixture.ms(1000), DecisionEngineFixture.START, true, false);
     fixture.pull();
     assertTrue(fixture.said.contains("hand-off 1"));
@@ -558,7 +566,7 @@
     for (long seed = 1; seed <= 500; seed++) {
       DecisionEngineFixture fixture =
           DecisionEngineFixture.oneOf(500, true, seed, List.of()).list(1);
-      fixture.change(1, EndpointState.READY, Duration.ofMillis(-10)).request(1, 8).pull();
+      fixture.change(1, EndpointState.READY, Duration.ofMillis(-10)).requestArrived(1, 8).pull();
       sent += fixture.count("hand-off");
     }
     assertTrue(sent < 50, "sent " + sent);
@@ -570,7 +578,7 @@
     fixture.list(LongStream.rangeClosed(1, 50).toArray());
     for (long id = 1; id <= 60; id++) {
       fixture.at(id * 500);
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id,
           0,
           0,
@@ -579,7 +587,7 @@
           DecisionEngineFixture.START,
           false,
           false);
-      fixture.pull().outcome(id, 0, AttemptOutcome.DELIVERED);
+      fixture.pull().attemptEnded(id, 0, AttemptOutcome.SERVED);
     }
     long atTop = 0;
     for (int i = 41; i < 60; i += 2) {
@@ -595,7 +603,7 @@
         DecisionEngineFixture.oneOf(500, false, 7, List.of(100.0, 100.0)).list(0, 1, 2, 3);
     for (long id = 1; id <= 40; id++) {
       fixture.at(id * 100L);
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id,
           0,
           1,
@@ -606,14 +614,14 @@
           false);
       fixture
           .pull()
-          .outcome(id, 0, AttemptOutcome.CUT)
-          .outcome(id, 1, AttemptOutcome.CUT)
-          .outcome(id, 2, AttemptOutcome.CUT)
+          .attemptEnded(id, 0, AttemptOutcome.CONNECTION_LOST)
+          .attemptEnded(id, 1, AttemptOutcome.CONNECTION_LOST)
+          .attemptEnded(id, 2, AttemptOutcome.CONNECTION_LOST)
           .pull();
     }
     fixture.at(6000);
     for (long id = 101; id <= 105; id++) {
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id, 0, 0, id, DecisionEngineFixture.ms(7000), DecisionEngineFixture.START, false, false);
     }
     assertEquals(0, fixture.pull().said.stream().filter(s -> s.matches("deny 10[1-5]")).count());
@@ -625,18 +633,18 @@
         DecisionEngineFixture.oneOf(500, false, 7, List.of()).list(0, 1, 2, 3);
     for (long id = 1; id <= 10; id++) {
       fixture.at(id);
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id, 0, 0, id, DecisionEngineFixture.ms(900), DecisionEngineFixture.START, false, false);
-      fixture.pull().outcome(id, 0, AttemptOutcome.MISS).pull();
+      fixture.pull().attemptEnded(id, 0, AttemptOutcome.MISS).pull();
     }
     assertEquals(1, fixture.sentTo.stream().filter(n -> n == 0).count());
-    fixture.at(30).outcome(1, 1, AttemptOutcome.DELIVERED).pull();
+    fixture.at(30).attemptEnded(1, 1, AttemptOutcome.SERVED).pull();
     assertEquals(1, fixture.sentTo.stream().filter(n -> n == 0).count());
     fixture.at(890).pull();
     fixture
         .at(10_000)
         .decide
-        .request(
+        .requestArrived(
             11,
             0,
             0,
@@ -645,29 +653,29 @@
             DecisionEngineFixture.START,
             false,
             false);
-    fixture.pull().outcome(11, 0, AttemptOutcome.MISS).pull();
+    fixture.pull().attemptEnded(11, 0, AttemptOutcome.MISS).pull();
     assertEquals(2, fixture.sentTo.stream().filter(n -> n == 0).count());
   }
 
   @Test
   void aNodeIsJudgedByWhatPeersTellAndOnlyFailuresAreTold() {
     DecisionEngineFixture fixture = DecisionEngineFixture.oneOf(500, true, 7, List.of()).list(1, 2);
-    fixture.request(1, 8).pull().outcome(1, 0, AttemptOutcome.DELIVERED).pull();
+    fixture.requestArrived(1, 8).pull().attemptEnded(1, 0, AttemptOutcome.SERVED).pull();
     assertEquals(0, fixture.count("tell"));
     long top = fixture.sentTo.get(0);
     for (int i = 0; i < 20; i++) {
-      fixture.decide.heard(top, false);
+      fixture.decide.peerReported(top, false);
     }
-    fixture.decide.heard(77, false);
+    fixture.decide.peerReported(77, false);
     int kept = 0;
     for (long id = 2; id <= 41; id++) {
-      fixture.request(id, 8).pull();
+      fixture.requestArrived(id, 8).pull();
       kept += fixture.sentTo.get(fixture.sentTo.size() - 1) == top ? 1 : 0;
-      fixture.decide.lapsed(id);
-      fixture.outcome(id, 0, AttemptOutcome.CANCELLED);
+      fixture.decide.requestAbandoned(id);
+      fixture.attemptEnded(id, 0, AttemptOutcome.CANCELLED);
     }
     assertTrue(kept < 20, "kept " + kept);
-    fixture.request(50, 9).pull().outcome(50, 0, AttemptOutcome.FULL).pull();
+    fixture.requestArrived(50, 9).pull().attemptEnded(50, 0, AttemptOutcome.REJECTED).pull();
     assertTrue(fixture.said.stream().anyMatch(s -> s.startsWith("tell") && s.endsWith("false")));
   }
 
@@ -679,7 +687,7 @@
       int late = 0;
       for (long id = 1; id <= 200; id++) {
         fixture.at(id * 1000);
-        fixture.decide.request(
+        fixture.decide.requestArrived(
             id,
             0,
             0,
@@ -694,11 +702,11 @@
         late += moved && id > 100 ? 1 : 0;
         int last = 0;
         if (moved) {
-          fixture.outcome(id, 0, AttemptOutcome.CANCELLED).pull();
+          fixture.attemptEnded(id, 0, AttemptOutcome.CANCELLED).pull();
           last = 1;
         }
         fixture.at(id * 1000 + (moved == movingHelps ? 250 : 500));
-        fixture.outcome(id, last, AttemptOutcome.DELIVERED).pull();
+        fixture.attemptEnded(id, last, AttemptOutcome.SERVED).pull();
       }
       assertTrue(movingHelps ? late >= 8 : late < 4, movingHelps + ": " + late);
     }
@@ -712,7 +720,7 @@
             .pull()
             .list(0, 1);
     for (long id = 1; id <= 20; id++) {
-      fixture.request(id, id).pull().outcome(id, 0, AttemptOutcome.MISS).pull();
+      fixture.requestArrived(id, id).pull().attemptEnded(id, 0, AttemptOutcome.MISS).pull();
     }
     assertTrue(fixture.sentTo.stream().filter(n -> n == 0).count() > 10);
   }
@@ -726,7 +734,7 @@
     for (int tenth = 1; tenth <= 300; tenth++) {
       fixture.at(tenth * 100L);
       int tenant = tenth % 5 == 0 ? 0 : 1;
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           ++id,
           0,
           tenant,
@@ -738,9 +746,9 @@
       fixture.pull();
       rejected += tenant == 0 && fixture.said.contains("deny " + id) ? 1 : 0;
       fixture
-          .outcome(id, 0, AttemptOutcome.CUT)
-          .outcome(id, 1, AttemptOutcome.CUT)
-          .outcome(id, 2, AttemptOutcome.CUT)
+          .attemptEnded(id, 0, AttemptOutcome.CONNECTION_LOST)
+          .attemptEnded(id, 1, AttemptOutcome.CONNECTION_LOST)
+          .attemptEnded(id, 2, AttemptOutcome.CONNECTION_LOST)
           .pull();
     }
     assertTrue(fixture.count("deny") > 100, "denied in all " + fixture.count("deny"));
@@ -751,14 +759,14 @@
   void aFetchThatFailedLateTellsHowLongTheNextOneTakes() {
     DecisionEngineFixture fixture =
         DecisionEngineFixture.oneOf(1, false, 7, List.of()).list(0, 1, 2);
-    fixture.request(1, 8).pull().outcome(1, 0, AttemptOutcome.MISS).pull();
+    fixture.requestArrived(1, 8).pull().attemptEnded(1, 0, AttemptOutcome.MISS).pull();
     fixture
         .at(900)
         .decide
-        .outcome(1, 1, AttemptOutcome.TIMED_OUT, DecisionEngineFixture.ms(890), true);
-    fixture.decide.request(
+        .attemptEnded(1, 1, AttemptOutcome.TIMED_OUT, DecisionEngineFixture.ms(890), true);
+    fixture.decide.requestArrived(
         2, 0, 0, 9, DecisionEngineFixture.ms(1300), DecisionEngineFixture.START, false, false);
-    fixture.pull().outcome(2, 0, AttemptOutcome.MISS).pull();
+    fixture.pull().attemptEnded(2, 0, AttemptOutcome.MISS).pull();
     assertTrue(fixture.said.contains("deny 2"));
   }
 
@@ -769,13 +777,16 @@
   @Test
   void aMarkedRepeatMayBeSentOnlyWhileTheFirstIsRemembered() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.through(Effect.IDEMPOTENCY_KEYED).list(1, 2).request(7, 5).pull();
-    fixture.at(100).outcome(7, 0, AttemptOutcome.CUT).pull();
+        DecisionEngineFixture.through(Effect.IDEMPOTENCY_KEYED)
+            .list(1, 2)
+            .requestArrived(7, 5)
+            .pull();
+    fixture.at(100).attemptEnded(7, 0, AttemptOutcome.CONNECTION_LOST).pull();
     assertEquals(
         List.of(DecisionEngineFixture.ms(1000), DecisionEngineFixture.ms(200)), fixture.mostToSend);
     DecisionEngineFixture free =
-        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2).request(7, 5).pull();
-    free.at(100).outcome(7, 0, AttemptOutcome.CUT).pull();
+        DecisionEngineFixture.through(Effect.IDEMPOTENT).list(1, 2).requestArrived(7, 5).pull();
+    free.at(100).attemptEnded(7, 0, AttemptOutcome.CONNECTION_LOST).pull();
     assertEquals(
         List.of(DecisionEngineFixture.ms(1000), DecisionEngineFixture.ms(900)), free.mostToSend);
   }
--- a/src/test/java/pathgw/decision/FirstSecondsTest.java
+++ b/src/test/java/pathgw/decision/FirstSecondsTest.java
@@ -50,11 +50,11 @@
       sent++;
       if (!open.contains(node) && taken[node] >= PLACES) {
         refused++;
-        fixture.outcome(id, number, AttemptOutcome.NO_CONNECTION, 2);
+        fixture.attemptEnded(id, number, AttemptOutcome.CONNECT_FAILED, 2);
         return;
       }
       taken[node] += open.add(node) ? 1 : 0;
-      answers.add(() -> fixture.outcome(id, number, AttemptOutcome.DELIVERED, 90));
+      answers.add(() -> fixture.attemptEnded(id, number, AttemptOutcome.SERVED, 90));
     }
   }
 
--- a/src/test/java/pathgw/decision/ProxyPerClientTest.java
+++ b/src/test/java/pathgw/decision/ProxyPerClientTest.java
@@ -22,15 +22,15 @@
     DecisionEngineFixture fixture =
         DecisionEngineFixture.ofAClient(50).list(NODES).asks(1, 0, 0, 8);
     long node = fixture.sentTo.get(0);
-    fixture.outcome(1, 0, AttemptOutcome.DELIVERED, 5).at(100).asks(2, 0, 0, 9).at(5_000).pull();
+    fixture.attemptEnded(1, 0, AttemptOutcome.SERVED, 5).at(100).asks(2, 0, 0, 9).at(5_000).pull();
     assertTrue(fixture.said.contains("close " + node));
     DecisionEngineFixture free =
         new DecisionEngineFixture(
             false, Settings.Effect.IDEMPOTENT, Settings.Group.ALL, java.util.List.of());
     free.list(NODES)
-        .request(1, 8)
+        .requestArrived(1, 8)
         .pull()
-        .outcome(1, 0, AttemptOutcome.DELIVERED)
+        .attemptEnded(1, 0, AttemptOutcome.SERVED)
         .pull()
         .at(60_000)
         .pull();
@@ -48,7 +48,7 @@
     DecisionEngineFixture fixture =
         DecisionEngineFixture.ofAClient(50).list(NODES).asks(1, 0, 0, 8);
     long node = fixture.sentTo.get(0);
-    fixture.outcome(1, 0, AttemptOutcome.NO_CONNECTION, 2);
+    fixture.attemptEnded(1, 0, AttemptOutcome.CONNECT_FAILED, 2);
     assertNotEquals(node, fixture.sentTo.get(1));
     assertEquals(0, fixture.count("fetch list"));
     long another =
@@ -70,8 +70,8 @@
         DecisionEngineFixture.ofAClient(50)
             .list(NODES)
             .asks(1, 0, 0, 8)
-            .outcome(1, 0, AttemptOutcome.ERROR, 5);
-    fixture.outcome(1, 1, AttemptOutcome.MISS, 5);
+            .attemptEnded(1, 0, AttemptOutcome.ERROR, 5);
+    fixture.attemptEnded(1, 1, AttemptOutcome.MISS, 5);
     assertEquals(3, fixture.sentTo.stream().distinct().count());
     assertEquals(0L, fixture.sentTo.get(2));
   }
@@ -82,8 +82,9 @@
     for (int id = 1; id <= 200; id++) {
       fixture.at(id * 20L).asks(id, 0, id % 3 == 0 ? 0 : 1, id);
       fixture
-          .outcome(id, 0, id % 10 == 0 ? AttemptOutcome.CUT : AttemptOutcome.DELIVERED, 20)
-          .outcome(id, 1, AttemptOutcome.CUT, 20);
+          .attemptEnded(
+              id, 0, id % 10 == 0 ? AttemptOutcome.CONNECTION_LOST : AttemptOutcome.SERVED, 20)
+          .attemptEnded(id, 1, AttemptOutcome.CONNECTION_LOST, 20);
     }
     assertEquals(
         0, fixture.said.stream().filter(s -> s.startsWith("deny") && !s.endsWith("0")).count());
@@ -93,11 +94,11 @@
   void aShortRequestGoesRoundANodeThatHasALongOneOut() {
     DecisionEngineFixture fixture = DecisionEngineFixture.ofAClient(50).list(NODES);
     for (int id = 1; id <= 20; id++) {
-      fixture.at(id * 1000L).asks(id, 0, 0, id).outcome(id, 0, AttemptOutcome.DELIVERED, 800);
+      fixture.at(id * 1000L).asks(id, 0, 0, id).attemptEnded(id, 0, AttemptOutcome.SERVED, 800);
     }
     fixture.at(30_000).asks(50, 0, 0, 8).asks(51, 1, 0, 8);
     assertNotEquals(fixture.sentTo.get(20), fixture.sentTo.get(21));
-    fixture.outcome(50, 0, AttemptOutcome.DELIVERED, 20).at(60_000).asks(52, 1, 0, 8);
+    fixture.attemptEnded(50, 0, AttemptOutcome.SERVED, 20).at(60_000).asks(52, 1, 0, 8);
     assertEquals(fixture.sentTo.get(20), fixture.sentTo.get(22));
   }
 
@@ -116,7 +117,7 @@
       fixture.at(id * 100L).asks(id, 0, 0, id);
       long node = fixture.sentTo.get(fixture.sentTo.size() - 1);
       weak += id > 400 && node % 2 == 0 ? 1 : 0;
-      fixture.outcome(id, 0, AttemptOutcome.DELIVERED, node % 2 == 0 && id % 3 != 0 ? 1400 : 50);
+      fixture.attemptEnded(id, 0, AttemptOutcome.SERVED, node % 2 == 0 && id % 3 != 0 ? 1400 : 50);
     }
     assertTrue(weak > 10 && weak < 80, weak + " of 200");
   }
@@ -135,7 +136,7 @@
   void aCrowdIsTakenForOneBeforeThoseInItAreLost() {
     DecisionEngineFixture fixture = DecisionEngineFixture.ofAClient().list(NODES);
     for (int id = 1; id <= 200; id++) {
-      fixture.decide.request(
+      fixture.decide.requestArrived(
           id,
           0,
           0,
@@ -154,17 +155,17 @@
   @Test
   void whatWasLearntOfANodeGoesOnAndWhatIsSeenSinceStands() {
     DecisionEngineFixture fixture = DecisionEngineFixture.ofAClient(50).list(NODES);
-    fixture.decide.recall(99, new NodeSnapshot(0, 9, 3, true));
-    fixture.decide.recall(1, new NodeSnapshot(0, 9, 3, true));
-    assertTrue(fixture.decide.learnt(1).suspected());
-    fixture.asks(1, 0, 0, 8).outcome(1, 0, AttemptOutcome.DELIVERED, 5);
+    fixture.decide.restore(99, new NodeSnapshot(0, 9, 3, true));
+    fixture.decide.restore(1, new NodeSnapshot(0, 9, 3, true));
+    assertTrue(fixture.decide.snapshot(1).suspected());
+    fixture.asks(1, 0, 0, 8).attemptEnded(1, 0, AttemptOutcome.SERVED, 5);
     long met = fixture.sentTo.get(0);
-    fixture.decide.recall(met, new NodeSnapshot(0, 9, 3, true));
-    assertFalse(fixture.decide.learnt(met).suspected());
+    fixture.decide.restore(met, new NodeSnapshot(0, 9, 3, true));
+    assertFalse(fixture.decide.snapshot(met).suspected());
     fixture
         .change(1, EndpointState.READY, DecisionEngineFixture.ms(1))
         .change(1, EndpointState.READY, DecisionEngineFixture.ms(50));
-    assertFalse(fixture.decide.learnt(1).suspected(), "started anew");
-    assertEquals(null, fixture.decide.learnt(99));
+    assertFalse(fixture.decide.snapshot(1).suspected(), "started anew");
+    assertEquals(null, fixture.decide.snapshot(99));
   }
 }
--- a/src/test/java/pathgw/discovery/DiscoveryTest.java
+++ b/src/test/java/pathgw/discovery/DiscoveryTest.java
@@ -57,7 +57,7 @@
       DecisionEngine before = new DecisionEngine(CONFIG.settings(), 1);
       before.beginEndpointUpdate(true, false);
       before.updateEndpoint(id, EndpointState.READY, null, 0, 0, 0);
-      before.recall(id, new NodeSnapshot(0, 4, 2.9, true));
+      before.restore(id, new NodeSnapshot(0, 4, 2.9, true));
       SnapshotFile.write(folder.resolve("learnt"), before, Map.of(id, n1.startedMs()), 1000);
       start();
       Discovery discovery =
@@ -75,7 +75,7 @@
       }
       discovery.take(list(5, false, "ready"), false);
       boolean[] suspected = new boolean[1];
-      driver.tell(module -> suspected[0] = module.learnt(id).suspected());
+      driver.tell(module -> suspected[0] = module.snapshot(id).suspected());
       assertEquals(!late, suspected[0]);
     }
   }
--- a/src/test/java/pathgw/request/RequestHandlerTest.java
+++ b/src/test/java/pathgw/request/RequestHandlerTest.java
@@ -97,7 +97,7 @@
     response[0] = new PendingResponse(() -> answers.add(response[0].answer()));
     nodes("n1");
     requestHandler.live(command(READ), response[0]);
-    driver.tell(module -> module.lapsed(1));
+    driver.tell(module -> module.requestAbandoned(1));
     after(480 + 25);
     assertEquals(
         List.of("SERVER_ERROR failed\r\n"), answers.stream().map(Buffer::toString).toList());
--- a/src/test/java/pathgw/snapshot/SnapshotFileTest.java
+++ b/src/test/java/pathgw/snapshot/SnapshotFileTest.java
@@ -29,7 +29,7 @@
   void aProxyThatDoubtsNodeOneHasStopped() {
     file = folder.resolve("learnt");
     DecisionEngine before = module();
-    before.recall(1, DOUBTED);
+    before.restore(1, DOUBTED);
     SnapshotFile.write(file, before, Map.of(1L, 7L, 2L, 7L), 1000);
   }
 
@@ -48,7 +48,7 @@
   private NodeSnapshot next(long bornMs, long unixMs) {
     DecisionEngine after = module();
     SnapshotFile.read(file, unixMs).recall(1, bornMs, after);
-    return after.learnt(1);
+    return after.snapshot(1);
   }
 
   @Test
@@ -89,8 +89,8 @@
     assertEquals(DOUBTED, next(7, 2000));
     DecisionEngine after = module();
     SnapshotFile.read(file, 2000).recall(2, 7, after);
-    assertEquals(NOTHING, after.learnt(2));
-    assertNull(after.learnt(3));
+    assertEquals(NOTHING, after.snapshot(2));
+    assertNull(after.snapshot(3));
   }
 
   @Test
@@ -99,6 +99,6 @@
     kept.forgetRest();
     DecisionEngine after = module();
     kept.recall(1, 7, after);
-    assertEquals(NOTHING, after.learnt(1));
+    assertEquals(NOTHING, after.snapshot(1));
   }
 }
--- a/src/test/java/pathgw/upstream/ConnectionPoolTest.java
+++ b/src/test/java/pathgw/upstream/ConnectionPoolTest.java
@@ -43,7 +43,7 @@
             AttemptEnd.NODE_LEAVING,
             AttemptEnd.NOT_TRIED),
         never);
-    assertEquals(AttemptOutcome.CUT, AttemptEnd.BROKE_AFTER_LAST_BYTE.how());
+    assertEquals(AttemptOutcome.CONNECTION_LOST, AttemptEnd.BROKE_AFTER_LAST_BYTE.how());
     assertEquals(AttemptOutcome.TIMED_OUT, AttemptEnd.SILENT.how());
   }
 
