--- a/src/main/java/pathgw/request/RequestHandler.java
+++ b/src/main/java/pathgw/request/RequestHandler.java
@@ -57,14 +57,14 @@
   }
 
   /** The life of one request, from the command that was read to the one answer that ends it. */
-  public void live(MetaCommand command, PendingResponse response) {
+  public void handle(MetaCommand command, PendingResponse response) {
     // Under one id a node's answer could not be told from that to the other request.
     if (!open.add(command.id)) {
       response.answer(MetaResponses.malformed("id in use"));
       return;
     }
     State state = new State(command.id);
-    Duration due = timers.now().minus(timers.behind()).plus(command.wait);
+    Duration due = timers.now().minus(timers.lag()).plus(command.wait);
     state.id =
         driver.open(
             new DecisionDriver.RequestActions() {
@@ -86,9 +86,9 @@
                           }
                           boolean over = state.answered;
                           Duration lag = timers.now().minus(sent);
-                          driver.tell(
-                              module -> {
-                                module.attemptEnded(state.id, number, end.how(), lag, over);
+                          driver.submit(
+                              engine -> {
+                                engine.attemptEnded(state.id, number, end.how(), lag, over);
                                 forget(state);
                               });
                         });
@@ -126,15 +126,15 @@
     Duration now = timers.now();
     Duration guarded = due.compareTo(now) < 0 ? now : due;
     state.last =
-        timers.at(
+        timers.scheduleAt(
             guarded.plus(slack.dividedBy(2)),
             () -> {
               LOG.log(Level.ERROR, () -> "access " + command.id + " had no answer when it was due");
               lapse(state, () -> response.answer(MetaResponses.FAILED));
             });
-    driver.tell(
-        module ->
-            module.requestArrived(
+    driver.submit(
+        engine ->
+            engine.requestArrived(
                 state.id,
                 command.requestClass,
                 command.tenant,
@@ -146,22 +146,22 @@
   }
 
   private void answer(State state, String how, Runnable what) {
-    end(state, how, what, module -> {});
+    end(state, how, what, engine -> {});
   }
 
   private void lapse(State state, Runnable what) {
-    end(state, "lapsed", what, module -> module.requestAbandoned(state.id));
+    end(state, "lapsed", what, engine -> engine.requestAbandoned(state.id));
   }
 
   private void end(State state, String how, Runnable what, Consumer<DecisionEngine> input) {
     if (!state.answered) {
       state.answered = true;
       observer.answered(state.name, how, state.attempts.size());
-      timers.drop(state.last);
+      timers.cancel(state.last);
       what.run();
       // One that comes up after the answer, or after its client has gone, would begin for nobody.
       List.copyOf(state.attempts).forEach(Attempt::cancelIfNotBegun);
-      driver.tell(input.andThen(module -> forget(state)));
+      driver.submit(input.andThen(engine -> forget(state)));
     }
   }
 
--- a/src/main/java/pathgw/upstream/Attempt.java
+++ b/src/main/java/pathgw/upstream/Attempt.java
@@ -36,7 +36,8 @@
     limit = timers.now().plus(patience);
     sendBy = timers.now().plus(sendWithin);
     this.patience =
-        timers.at(limit, () -> giveUp(AttemptEnd.SILENT, AttemptEnd.TIMED_OUT_BEFORE_LAST_BYTE));
+        timers.scheduleAt(
+            limit, () -> giveUp(AttemptEnd.SILENT, AttemptEnd.TIMED_OUT_BEFORE_LAST_BYTE));
   }
 
   /**
@@ -60,12 +61,13 @@
   void begins() {
     begun = true;
     unsent =
-        timers.at(sendBy, () -> giveUp(AttemptEnd.SILENT, AttemptEnd.TIMED_OUT_BEFORE_LAST_BYTE));
+        timers.scheduleAt(
+            sendBy, () -> giveUp(AttemptEnd.SILENT, AttemptEnd.TIMED_OUT_BEFORE_LAST_BYTE));
   }
 
   void lastByteWritten() {
     written = true;
-    timers.drop(unsent);
+    timers.cancel(unsent);
   }
 
   /**
@@ -90,9 +92,9 @@
       return;
     }
     over = true;
-    timers.drop(patience);
+    timers.cancel(patience);
     if (unsent != null) {
-      timers.drop(unsent);
+      timers.cancel(unsent);
     }
     ended.with(end, answer);
   }
--- a/src/test/java/pathgw/discovery/DiscoveryTest.java
+++ b/src/test/java/pathgw/discovery/DiscoveryTest.java
@@ -75,7 +75,7 @@
       }
       discovery.take(list(5, false, "ready"), false);
       boolean[] suspected = new boolean[1];
-      driver.tell(module -> suspected[0] = module.snapshot(id).suspected());
+      driver.submit(engine -> suspected[0] = engine.snapshot(id).suspected());
       assertEquals(!late, suspected[0]);
     }
   }
@@ -125,7 +125,7 @@
   void aWatchThatMissesALineIsAskedForAnewBeforeItsNewsCountsAsTold() {
     Discovery discovery = discovery();
     driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, node -> {});
-    driver.tell(module -> {});
+    driver.submit(engine -> {});
     pass(3400);
     assertEquals(1, dialled.size(), "a call may wait for its turn");
     pass(1200);
@@ -154,7 +154,7 @@
   void behindASilentWatchNothingGoesToNodesOnceItsNewsMayCountAsTold() {
     Discovery discovery = discovery();
     driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, pools::closeIdle);
-    driver.tell(module -> {});
+    driver.submit(engine -> {});
     FakeConnection first = dialled.get(0);
     first.gives(BEGINS + chunk(5, true, "ready"));
     for (int ms = 0; ms < 5900; ms += 10) {
@@ -189,7 +189,7 @@
   void howeverOftenAskedAServiceThatFailsDoesNotMakeTheListHoldForLonger() {
     Discovery discovery = discovery();
     driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, pools::closeIdle);
-    driver.tell(module -> {});
+    driver.submit(engine -> {});
     dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
     asks();
     pass(1500);
--- a/src/test/java/pathgw/driver/DecisionDriverTest.java
+++ b/src/test/java/pathgw/driver/DecisionDriverTest.java
@@ -12,9 +12,9 @@
   @Test
   void anInputThatADecisionBringsWaitsForItsTurn() {
     List<String> order = new ArrayList<>();
-    driver.tell(
-        module -> {
-          driver.tell(later -> order.add("second"));
+    driver.submit(
+        engine -> {
+          driver.submit(later -> order.add("second"));
           order.add("first");
         });
     assertEquals(List.of("first", "second"), order);
--- a/src/test/java/pathgw/request/RequestHandlerTest.java
+++ b/src/test/java/pathgw/request/RequestHandlerTest.java
@@ -70,7 +70,7 @@
   void whatLayUnreadThroughAPauseIsDueEarlier() {
     nodes("n1");
     nanos = Duration.ofMillis(100).toNanos();
-    timers.in(Duration.ofMillis(1), () -> {});
+    timers.schedule(Duration.ofMillis(1), () -> {});
     nanos = Duration.ofMillis(700).toNanos();
     FakeConnection client = client();
     client.gives(READ);
@@ -96,8 +96,8 @@
     PendingResponse[] response = new PendingResponse[1];
     response[0] = new PendingResponse(() -> answers.add(response[0].answer()));
     nodes("n1");
-    requestHandler.live(command(READ), response[0]);
-    driver.tell(module -> module.requestAbandoned(1));
+    requestHandler.handle(command(READ), response[0]);
+    driver.submit(engine -> engine.requestAbandoned(1));
     after(480 + 25);
     assertEquals(
         List.of("SERVER_ERROR failed\r\n"), answers.stream().map(Buffer::toString).toList());
--- a/src/test/java/pathgw/server/DecisionCostBenchmark.java
+++ b/src/test/java/pathgw/server/DecisionCostBenchmark.java
@@ -143,9 +143,10 @@
                 public void fail() {}
               });
       Duration due = timers.now().plusMillis(900);
-      driver.tell(m -> m.requestArrived(id, 0, 0, key, due, Duration.ZERO, false, false));
+      driver.submit(m -> m.requestArrived(id, 0, 0, key, due, Duration.ZERO, false, false));
       if (over[0]) {
-        driver.tell(m -> m.attemptEnded(id, 0, AttemptOutcome.SERVED, Duration.ofMillis(5), true));
+        driver.submit(
+            m -> m.attemptEnded(id, 0, AttemptOutcome.SERVED, Duration.ofMillis(5), true));
       }
       driver.close(id);
     }
--- a/src/test/java/pathgw/server/FleetSizeTest.java
+++ b/src/test/java/pathgw/server/FleetSizeTest.java
@@ -134,11 +134,11 @@
     for (int i = 0; i < 8; i++) {
       transport.heard.accept(failed, new Address("10.8.0.1", 7946));
     }
-    driver.tell(module -> suspected[0] = "" + module.snapshot(first).suspected());
+    driver.submit(engine -> suspected[0] = "" + engine.snapshot(first).suspected());
     for (int i = 0; i < 8; i++) {
       transport.heard.accept(failed, new Address("10.9.4.23", 7946));
     }
-    driver.tell(module -> suspected[1] = "" + module.snapshot(first).suspected());
+    driver.submit(engine -> suspected[1] = "" + engine.snapshot(first).suspected());
     assertEquals(
         List.of("false", "true"), List.of(suspected), "the last of the peers, and no stranger");
   }
--- a/src/test/java/pathgw/snapshot/SnapshotFileTest.java
+++ b/src/test/java/pathgw/snapshot/SnapshotFileTest.java
@@ -28,25 +28,25 @@
   @BeforeEach
   void aProxyThatDoubtsNodeOneHasStopped() {
     file = folder.resolve("learnt");
-    DecisionEngine before = module();
+    DecisionEngine before = engine();
     before.restore(1, DOUBTED);
     SnapshotFile.write(file, before, Map.of(1L, 7L, 2L, 7L), 1000);
   }
 
-  private static DecisionEngine module() {
-    DecisionEngine module =
+  private static DecisionEngine engine() {
+    DecisionEngine engine =
         new DecisionEngine(
             Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)).settings(), 1);
-    module.beginEndpointUpdate(true, false);
-    module.updateEndpoint(1, EndpointState.READY, null, 0, 0, 0);
-    module.updateEndpoint(2, EndpointState.READY, null, 0, 0, 0);
-    module.endEndpointUpdate();
-    return module;
+    engine.beginEndpointUpdate(true, false);
+    engine.updateEndpoint(1, EndpointState.READY, null, 0, 0, 0);
+    engine.updateEndpoint(2, EndpointState.READY, null, 0, 0, 0);
+    engine.endEndpointUpdate();
+    return engine;
   }
 
   /** What the next proxy holds of node one. */
   private NodeSnapshot next(long bornMs, long unixMs) {
-    DecisionEngine after = module();
+    DecisionEngine after = engine();
     SnapshotFile.read(file, unixMs).recall(1, bornMs, after);
     return after.snapshot(1);
   }
@@ -87,7 +87,7 @@
                 "\"id\": \"2\", \"born_ms\": 7, \"wins\": 0.0",
                 "\"id\": \"2\", \"born_ms\": 7, \"wins\": 1e9"));
     assertEquals(DOUBTED, next(7, 2000));
-    DecisionEngine after = module();
+    DecisionEngine after = engine();
     SnapshotFile.read(file, 2000).recall(2, 7, after);
     assertEquals(NOTHING, after.snapshot(2));
     assertNull(after.snapshot(3));
@@ -97,7 +97,7 @@
   void nothingIsLeftAfterTheFirstNewsFromDiscovery() {
     SnapshotFile kept = SnapshotFile.read(file, 2000);
     kept.forgetRest();
-    DecisionEngine after = module();
+    DecisionEngine after = engine();
     kept.recall(1, 7, after);
     assertEquals(NOTHING, after.snapshot(1));
   }
--- a/src/test/java/pathgw/transport/EventLoopTimersTest.java
+++ b/src/test/java/pathgw/transport/EventLoopTimersTest.java
@@ -35,7 +35,7 @@
    */
   @Test
   void aSecondStopIsNotOverWithTheFirst() {
-    timers.in(Duration.ofMillis(1), () -> timers.in(Duration.ofMillis(1), () -> {}));
+    timers.schedule(Duration.ofMillis(1), () -> timers.schedule(Duration.ofMillis(1), () -> {}));
     passes(184);
     scheduled.remove(0).run();
     Runnable firstIsOver = scheduled.remove(0);
@@ -43,9 +43,9 @@
     scheduled.remove(0).run();
     Runnable secondIsOver = scheduled.remove(0);
     firstIsOver.run();
-    assertFalse(timers.hasReadAll(), "nothing has been read since");
-    assertEquals(Duration.ofMillis(207), timers.behind());
+    assertFalse(timers.hasCaughtUp(), "nothing has been read since");
+    assertEquals(Duration.ofMillis(207), timers.lag());
     secondIsOver.run();
-    assertTrue(timers.hasReadAll());
+    assertTrue(timers.hasCaughtUp());
   }
 }
