--- a/src/main/java/pathgw/simulation/InvariantChecker.java
+++ b/src/main/java/pathgw/simulation/InvariantChecker.java
@@ -220,7 +220,7 @@
   RequestObserver observer(int proxy) {
     return new RequestObserver() {
       @Override
-      public void decided(String request) {
+      public void requestRejectedOrFailed(String request) {
         RequestActions c = courses.get(request);
         if (c != null && c.gaveUpAt < 0) {
           c.gaveUpAt = events.now();
@@ -229,7 +229,7 @@
       }
 
       @Override
-      public void ended(String request, String end) {
+      public void attemptEnded(String request, String end) {
         count("end " + end);
         trace.say(events.now(), () -> "p" + proxy + " hand-off of " + request + " ends " + end);
       }
--- a/src/test/java/pathgw/observability/CountersTest.java
+++ b/src/test/java/pathgw/observability/CountersTest.java
@@ -12,7 +12,7 @@
 
 /** The summary line that is logged every ten seconds. */
 class CountersTest extends NetworkFixture {
-  private record ListeningLogger(List<String> lines) implements System.Logger {
+  private record RecordingLogger(List<String> lines) implements System.Logger {
     @Override
     public String getName() {
       return "test";
@@ -35,13 +35,17 @@
   }
 
   @Test
-  void onceAPeriodOneLineTellsWhatWasDone() {
+  void eventsOfOnePeriodAreLoggedInOneLineAndIdlePeriodsNotAtAll() {
     List<String> lines = new ArrayList<>();
-    Counters counters = new Counters(new ListeningLogger(lines), timers, RequestObserver.NONE);
+    Counters counters = new Counters(new RecordingLogger(lines), timers, RequestObserver.NONE);
     requestHandler = new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), counters);
     pools =
         new UpstreamPools(
-            counters.dials("node-connections", this::dial), this::dial, timers, CONFIG, 8);
+            counters.countingConnector("node-connections", this::dial),
+            this::dial,
+            timers,
+            CONFIG,
+            8);
     client().gives(READ);
     nodes("n1");
     requestHandler = new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), counters);
@@ -50,9 +54,9 @@
     pass(20_100);
     assertEquals(
         List.of(
-            "in 10 s; accesses delivered 1, denied unsent 1; hand-offs ANSWERED 1, first 1; "
-                + "node-connections opened 1"),
+            "in 10 s; attempts ANSWERED 1, first 1; node-connections opened 1; "
+                + "requests rejected unsent 1, served 1"),
         lines,
-        "and none where nothing was done");
+        "a period without events is not logged");
   }
 }
--- a/src/test/java/pathgw/observability/LogLineFormatterTest.java
+++ b/src/test/java/pathgw/observability/LogLineFormatterTest.java
@@ -8,19 +8,20 @@
 import java.util.logging.LogRecord;
 import org.junit.jupiter.api.Test;
 
+/** The format of a line in the log. */
 class LogLineFormatterTest {
   @Test
-  void aLineHasTimeLevelLoggerAndMessageAndAFaultItsTrace() {
-    LogRecord told = new LogRecord(Level.WARNING, "stood still for 52 ms");
-    told.setLoggerName("a.Logger");
-    told.setInstant(Instant.parse("2026-02-03T04:05:06.007Z"));
+  void lineHasTimeLevelLoggerAndMessageThenStackTraceOfException() {
+    LogRecord logRecord = new LogRecord(Level.WARNING, "stood still for 52 ms");
+    logRecord.setLoggerName("a.Logger");
+    logRecord.setInstant(Instant.parse("2026-02-03T04:05:06.007Z"));
     assertEquals(
         "2026-02-03T04:05:06.007Z WARNING a.Logger stood still for 52 ms\n",
-        new LogLineFormatter().format(told));
-    told.setThrown(new IllegalStateException("why"));
+        new LogLineFormatter().format(logRecord));
+    logRecord.setThrown(new IllegalStateException("why"));
     assertTrue(
         new LogLineFormatter()
-            .format(told)
+            .format(logRecord)
             .contains("\njava.lang.IllegalStateException: why\n\tat "));
   }
 }
--- a/src/test/java/pathgw/request/RequestHandlerTest.java
+++ b/src/test/java/pathgw/request/RequestHandlerTest.java
@@ -91,10 +91,11 @@
   }
 
   @Test
-  void aModuleThatForgetsARequestStillLeavesAnAnswer() throws MetaCommand.Malformed {
+  void requestForgottenByDecisionEngineIsStillFailedAfterItsDeadline()
+      throws MetaCommand.Malformed {
     ArrayDeque<Buffer> answers = new ArrayDeque<>();
     PendingResponse[] response = new PendingResponse[1];
-    response[0] = new PendingResponse(() -> answers.add(response[0].answer()));
+    response[0] = new PendingResponse(() -> answers.add(response[0].bytes()));
     nodes("n1");
     requestHandler.handle(command(READ), response[0]);
     driver.submit(engine -> engine.requestAbandoned(1));
