--- a/src/main/java/pathgw/request/ActiveRequest.java
+++ b/src/main/java/pathgw/request/ActiveRequest.java
@@ -105,14 +105,14 @@
 
   private void attemptEnded(int number, Duration startedAt, AttemptEnd end, Buffer bytes) {
     observer.attemptEnded(command.id, end.name());
-    if (end.how() == AttemptOutcome.SERVED && !ended) {
+    if (end.outcome() == AttemptOutcome.SERVED && !ended) {
       end(RequestOutcome.SERVED, () -> response.complete(bytes));
     }
     boolean requestEnded = ended;
     Duration latency = timers.now().minus(startedAt);
     driver.submit(
         engine -> {
-          engine.attemptEnded(engineId, number, end.how(), latency, requestEnded);
+          engine.attemptEnded(engineId, number, end.outcome(), latency, requestEnded);
           closeIfOver();
         });
   }
@@ -152,7 +152,7 @@
     timers.cancel(undecidedTimer);
     respond.run();
     // An attempt still waiting for its connection would start for nobody.
-    List.copyOf(attempts).forEach(Attempt::cancelIfNotBegun);
+    List.copyOf(attempts).forEach(Attempt::cancelIfNotStarted);
     driver.submit(input.andThen(engine -> closeIfOver()));
   }
 
@@ -161,7 +161,7 @@
    * engine only: between two inputs the engine may be deciding about this request.
    */
   private void closeIfOver() {
-    if (ended && attempts.stream().allMatch(Attempt::over)) {
+    if (ended && attempts.stream().allMatch(Attempt::ended)) {
       driver.close(engineId);
       handler.releaseId(command.id);
     }
--- a/src/main/java/pathgw/upstream/AttemptEnd.java
+++ b/src/main/java/pathgw/upstream/AttemptEnd.java
@@ -4,34 +4,54 @@
 import pathgw.decision.AttemptOutcome;
 
 /**
- * Every way in which an attempt can end on its connection, and what that means to the module.
- * Whether it may have run turns on one thing: was its last byte written before the connection went?
+ * Every reason for which an attempt can end, and its outcome for the decision engine. Whether the
+ * request may have run depends on one thing: was its last byte written before the attempt ended?
  */
 public enum AttemptEnd {
+  /** A complete reply with a value, or with the receipt of a write. */
   ANSWERED(AttemptOutcome.SERVED),
+  /** A complete reply that nothing is stored under the key. */
   MISS(AttemptOutcome.MISS),
+  /** A complete reply with an error; the request may have run. */
   FAILED(AttemptOutcome.ERROR),
+  /** A complete reply that the request was rejected and never ran. */
   REJECTED(AttemptOutcome.REJECTED),
+  /** The connection could not be opened. */
   CONNECT_REFUSED(AttemptOutcome.CONNECT_FAILED),
-  CONNECT_TOO_LONG(AttemptOutcome.CONNECT_FAILED),
+  /** The connection was not open within the connect timeout. */
+  CONNECT_TIMED_OUT(AttemptOutcome.CONNECT_FAILED),
+  /** The connection was lost before the last byte of the request was written. */
   BROKE_BEFORE_LAST_BYTE(AttemptOutcome.CONNECT_FAILED),
+  /** The connection was lost after the last byte of the request was written. */
   BROKE_AFTER_LAST_BYTE(AttemptOutcome.CONNECTION_LOST),
-  /** What came is no answer to this request, whatever it is; the connection is closed. */
+  /** What was received is not a reply to this request; the connection is closed. */
   PROTOCOL_ERROR(AttemptOutcome.CONNECTION_LOST),
-  SILENT(AttemptOutcome.TIMED_OUT),
+  /** No complete reply came within the attempt timeout. */
+  TIMED_OUT(AttemptOutcome.TIMED_OUT),
+  /** The attempt timeout, or the time for sending, passed before the last byte was written. */
   TIMED_OUT_BEFORE_LAST_BYTE(AttemptOutcome.NOT_SENT),
+  /** Cancelled by the decision engine after the last byte was written. */
   CANCELLED(AttemptOutcome.CANCELLED),
+  /** Cancelled by the decision engine before the last byte was written. */
   CANCELLED_BEFORE_LAST_BYTE(AttemptOutcome.NOT_SENT),
-  /** The connection was up after the module's last time for sending. */
+  /** The connection was open only after the time by which the attempt had to be sent. */
   TOO_LATE_TO_SEND(AttemptOutcome.NOT_SENT),
-  /** Before the connection was up the request was over, or its client had gone. */
+  /** The request ended, or its client went, before the connection was open. */
   REQUEST_OVER(AttemptOutcome.NOT_SENT),
-  /** Before the connection was up the list told that the node drains or is gone. */
-  NODE_LEAVING(AttemptOutcome.NOT_SENT),
-  /** Out of sockets here, or no such node any more: that says nothing about the node. */
+  /** The endpoint started draining, or was removed, before the connection was open. */
+  ENDPOINT_LEAVING(AttemptOutcome.NOT_SENT),
+  /**
+   * The connection limit was reached, or the endpoint is unknown; says nothing about its health.
+   */
   NOT_TRIED(AttemptOutcome.NOT_SENT);
 
-  /** The end that a complete reply makes. */
+  private final AttemptOutcome outcome;
+
+  AttemptEnd(AttemptOutcome outcome) {
+    this.outcome = outcome;
+  }
+
+  /** The reason that a complete reply makes. */
   static AttemptEnd of(ReplyStatus status) {
     return switch (status) {
       case ANSWERED -> ANSWERED;
@@ -42,13 +62,8 @@
     };
   }
 
-  private final AttemptOutcome how;
-
-  AttemptEnd(AttemptOutcome how) {
-    this.how = how;
-  }
-
-  public AttemptOutcome how() {
-    return how;
+  /** What the decision engine is told. */
+  public AttemptOutcome outcome() {
+    return outcome;
   }
 }
--- a/src/test/java/pathgw/upstream/ConnectionPoolTest.java
+++ b/src/test/java/pathgw/upstream/ConnectionPoolTest.java
@@ -22,37 +22,37 @@
 import pathgw.transport.FakeConnection;
 
 /** Connections to one cache node, and what the end of each attempt on them means. */
-class ConnectionPoolTest extends PoolFixture {
+class ConnectionPoolTest extends ConnectionPoolFixture {
   @Test
-  void onlyWhatHadItsLastByteWrittenMayHaveRun() {
-    Set<AttemptEnd> never =
+  void onlyAttemptsWhoseLastByteWasWrittenMayHaveRun() {
+    Set<AttemptEnd> neverRan =
         Arrays.stream(AttemptEnd.values())
-            .filter(e -> e.how().neverRan())
+            .filter(e -> e.outcome().neverRan())
             .collect(Collectors.toSet());
     assertEquals(
         EnumSet.of(
             AttemptEnd.MISS,
             AttemptEnd.REJECTED,
             AttemptEnd.CONNECT_REFUSED,
-            AttemptEnd.CONNECT_TOO_LONG,
+            AttemptEnd.CONNECT_TIMED_OUT,
             AttemptEnd.BROKE_BEFORE_LAST_BYTE,
             AttemptEnd.TIMED_OUT_BEFORE_LAST_BYTE,
             AttemptEnd.CANCELLED_BEFORE_LAST_BYTE,
             AttemptEnd.TOO_LATE_TO_SEND,
             AttemptEnd.REQUEST_OVER,
-            AttemptEnd.NODE_LEAVING,
+            AttemptEnd.ENDPOINT_LEAVING,
             AttemptEnd.NOT_TRIED),
-        never);
-    assertEquals(AttemptOutcome.CONNECTION_LOST, AttemptEnd.BROKE_AFTER_LAST_BYTE.how());
-    assertEquals(AttemptOutcome.TIMED_OUT, AttemptEnd.SILENT.how());
+        neverRan);
+    assertEquals(AttemptOutcome.CONNECTION_LOST, AttemptEnd.BROKE_AFTER_LAST_BYTE.outcome());
+    assertEquals(AttemptOutcome.TIMED_OUT, AttemptEnd.TIMED_OUT.outcome());
   }
 
   @Test
-  void aBreakBeforeTheLastByteNeverRan() throws MetaCommand.Malformed {
-    Future<Connection> side = dial(ANYWHERE);
+  void requestWhoseConnectionBreaksBeforeLastByteNeverRan() throws MetaCommand.Malformed {
+    Future<Connection> connection = dial(ANYWHERE);
     dialled.get(0).writes = false;
     new ConnectionPool(
-            to -> side,
+            to -> connection,
             MetaCodec::new,
             timers,
             new ConnectionLimit(1),
@@ -64,55 +64,55 @@
   }
 
   @Test
-  void aBreakAfterTheLastByteMayHaveRun() throws MetaCommand.Malformed {
-    sent().breaks();
+  void requestWhoseConnectionBreaksAfterLastByteMayHaveRun() throws MetaCommand.Malformed {
+    sendOnNewPool().breaks();
     assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends);
   }
 
   @Test
-  void aRefusedConnectionNeverRanAndGivesItsSocketBack() throws MetaCommand.Malformed {
-    ConnectionLimit sockets = new ConnectionLimit(1);
+  void refusedConnectionReleasesItsPermit() throws MetaCommand.Malformed {
+    ConnectionLimit limit = new ConnectionLimit(1);
     new ConnectionPool(
             to -> Future.failedFuture("refused"),
             MetaCodec::new,
             timers,
-            sockets,
+            limit,
             ANYWHERE,
             Duration.ofSeconds(11))
         .send(attempt());
     assertEquals(List.of("CONNECT_REFUSED"), ends);
-    assertTrue(sockets.take());
+    assertTrue(limit.tryAcquire());
   }
 
   @Test
-  void anEndComesOnceWhateverFollows() throws MetaCommand.Malformed {
+  void attemptEndsOnceAndCancelClosesItsConnection() throws MetaCommand.Malformed {
     Attempt attempt = attempt();
-    link(1).send(attempt);
+    pool(1).send(attempt);
     attempt.cancel();
     attempt.end(AttemptEnd.ANSWERED, Buffer.buffer());
     assertEquals(List.of("CANCELLED"), ends);
-    assertTrue(dialled.get(0).closed, "its answer could meet another command");
+    assertTrue(dialled.get(0).closed, "its late reply could be taken for that to another command");
   }
 
   @Test
-  void aConnectionThatIsUpTooLateCarriesNothing() throws MetaCommand.Malformed {
+  void attemptIsNotSentAfterItsSendTimeAndConnectionStaysOpen() throws MetaCommand.Malformed {
     Attempt late = attempt();
     after(60);
-    link(1).send(late);
+    pool(1).send(late);
     assertEquals(List.of("TOO_LATE_TO_SEND"), ends);
     assertEquals("", dialled.get(0).written.toString());
-    assertFalse(dialled.get(0).closed, "the next access finds it open");
+    assertFalse(dialled.get(0).closed, "the next request can use it");
   }
 
   /**
-   * Of a long value the rest would reach the node when it has forgotten what it is to be told from.
+   * The rest of a long value would reach the node when it may have forgotten the idempotency key.
    */
   @Test
-  void whatIsNotWrittenWholeByTheLastTimeForSendingIsTakenBack() throws MetaCommand.Malformed {
-    Future<Connection> side = dial(ANYWHERE);
+  void attemptNotCompletelyWrittenWithinSendTimeIsCancelled() throws MetaCommand.Malformed {
+    Future<Connection> connection = dial(ANYWHERE);
     dialled.get(0).writes = false;
     new ConnectionPool(
-            to -> side,
+            to -> connection,
             MetaCodec::new,
             timers,
             new ConnectionLimit(1),
@@ -127,16 +127,16 @@
   }
 
   @Test
-  void patienceEndsWithSilence() throws MetaCommand.Malformed {
-    sent();
+  void attemptWithoutReplyTimesOut() throws MetaCommand.Malformed {
+    sendOnNewPool();
     nanos = Duration.ofMillis(400).toNanos();
     after(0);
-    assertEquals(List.of("SILENT"), ends);
+    assertEquals(List.of("TIMED_OUT"), ends);
   }
 
   @Test
-  void aValueGoesOnAsItCame() throws MetaCommand.Malformed {
-    FakeConnection node = sent();
+  void valueIsForwardedUnchanged() throws MetaCommand.Malformed {
+    FakeConnection node = sendOnNewPool();
     node.gives("VA 2 Oa1 h");
     node.gives("1\r\n\r\n");
     assertEquals(List.of(), ends);
@@ -145,17 +145,17 @@
   }
 
   @Test
-  void anAnswerToAnotherRequestReachesNobody() throws MetaCommand.Malformed {
-    sent().gives("VA 2 Ob2\r\nhi\r\n");
+  void replyToAnotherRequestIsAProtocolError() throws MetaCommand.Malformed {
+    sendOnNewPool().gives("VA 2 Ob2\r\nhi\r\n");
     assertEquals(List.of("PROTOCOL_ERROR"), ends);
     assertTrue(dialled.get(0).closed);
   }
 
   @Test
-  void whatNodesSayIsToldApart() throws MetaCommand.Malformed {
+  void repliesOfNodesMapToAttemptEnds() throws MetaCommand.Malformed {
     for (String line :
         new String[] {"EN Oa1", "SERVER_ERROR busy", "SERVER_ERROR failed", "HD Oa1 c9", "VA x"}) {
-      link(1).send(attempt(line.startsWith("HD") ? "ms k1 1 Oa1 Pc=write" : READ));
+      pool(1).send(attempt(line.startsWith("HD") ? "ms k1 1 Oa1 Pc=write" : READ));
       dialled.get(dialled.size() - 1).gives(line + "\r\n");
     }
     assertEquals(
@@ -163,28 +163,28 @@
   }
 
   @Test
-  void aConnectionThatStoodIdleTooLongIsNotUsedAgain() throws MetaCommand.Malformed {
-    ConnectionPool link = link(2);
-    link.send(attempt());
+  void settledConnectionIsReusedAndExpiredOneIsClosed() throws MetaCommand.Malformed {
+    ConnectionPool pool = pool(2);
+    pool.send(attempt());
     dialled.get(0).gives("EN Oa1\r\n");
-    link.send(attempt());
-    assertEquals(2, dialled.size(), "more may stand behind the answer");
+    pool.send(attempt());
+    assertEquals(2, dialled.size(), "surplus bytes may follow the reply");
     dialled.get(1).gives("EN Oa1\r\n");
     after(2);
-    link.send(attempt());
-    assertEquals(2, dialled.size(), "one that rests is used again");
+    pool.send(attempt());
+    assertEquals(2, dialled.size(), "a settled connection is reused");
     after(11_000);
     assertTrue(dialled.get(0).closed);
   }
 
   @Test
-  void connectionsIdleElsewhereMakeRoom() throws MetaCommand.Malformed {
-    ConnectionLimit sockets = new ConnectionLimit(1);
-    ConnectionPool one = link(sockets, MetaCodec::new);
-    ConnectionPool other = link(sockets, MetaCodec::new);
+  void idleConnectionOfAnotherPoolIsClosedAtTheLimit() throws MetaCommand.Malformed {
+    ConnectionLimit limit = new ConnectionLimit(1);
+    ConnectionPool one = pool(limit, MetaCodec::new);
+    ConnectionPool other = pool(limit, MetaCodec::new);
     one.send(attempt());
     other.send(attempt());
-    assertEquals(List.of("NOT_TRIED"), ends, "what is out is not taken away");
+    assertEquals(List.of("NOT_TRIED"), ends, "a connection in use is not closed");
     dialled.get(0).gives("EN Oa1\r\n");
     other.send(attempt());
     assertTrue(dialled.get(0).closed);
@@ -192,7 +192,7 @@
   }
 
   @Test
-  void theModuleClosesWhatIdlesAtOneNodeAndNothingElse() throws MetaCommand.Malformed {
+  void decisionEngineClosesIdleConnectionsOfOneNodeOnly() throws MetaCommand.Malformed {
     nodes("n1", "n2");
     pools.send(MetaCommand.hash("n1"), attempt());
     pools.send(MetaCommand.hash("n2"), attempt());
@@ -200,11 +200,11 @@
     pools.send(MetaCommand.hash("n1"), attempt());
     driver.closeIdle(MetaCommand.hash("n1"));
     assertTrue(dialled.get(0).closed);
-    assertFalse(dialled.get(1).closed || dialled.get(2).closed, "what is out goes on");
+    assertFalse(dialled.get(1).closed || dialled.get(2).closed, "attempts in flight go on");
   }
 
   @Test
-  void closingWhatStandsIdleKeepsTheWayToTheNode() throws MetaCommand.Malformed {
+  void nodeStaysReachableAfterItsIdleConnectionsAreClosed() throws MetaCommand.Malformed {
     nodes("n1");
     pools.send(MetaCommand.hash("n1"), attempt());
     dialled.get(0).gives("EN Oa1\r\n");
@@ -212,29 +212,29 @@
     assertTrue(dialled.get(0).closed);
     pools.send(MetaCommand.hash("n1"), attempt());
     assertEquals(2, dialled.size());
-    assertEquals(List.of("MISS"), ends, "the second is out");
+    assertEquals(List.of("MISS"), ends, "the second attempt is in flight");
   }
 
   @Test
-  void moreThanAnAnswerMeetsNoOtherCommand() throws MetaCommand.Malformed {
-    for (String more : new String[] {"VA 2 Oa1\r\nhi\r\n", "?", "\r\n"}) {
-      ConnectionPool link = link(2);
-      link.send(attempt());
+  void connectionWithSurplusBytesIsClosed() throws MetaCommand.Malformed {
+    for (String surplus : new String[] {"VA 2 Oa1\r\nhi\r\n", "?", "\r\n"}) {
+      ConnectionPool pool = pool(2);
+      pool.send(attempt());
       FakeConnection node = dialled.get(dialled.size() - 1);
-      node.gives("VA 2 Oa1\r\nhi\r\n" + more);
+      node.gives("VA 2 Oa1\r\nhi\r\n" + surplus);
       assertTrue(node.closed);
     }
     assertEquals(Set.of("ANSWERED VA 2 Oa1\r\nhi\r\n"), Set.copyOf(ends));
-    link(1).send(attempt());
+    pool(1).send(attempt());
     FakeConnection later = dialled.get(dialled.size() - 1);
     later.gives("EN Oa1\r\n");
     later.gives("?");
-    assertTrue(later.closed, "nor does what comes a moment later");
+    assertTrue(later.closed, "also if the surplus bytes come a moment later");
   }
 
   @Test
-  void anAnswerThatStopsHalfWayIsNotWaitedFor() throws MetaCommand.Malformed {
-    FakeConnection node = sent();
+  void replyThatStallsHalfWayIsAProtocolError() throws MetaCommand.Malformed {
+    FakeConnection node = sendOnNewPool();
     node.gives("VA 9 Oa1\r\nhi");
     after(100);
     node.gives("ho");
@@ -246,26 +246,26 @@
   }
 
   @Test
-  void anAnswerOfAnotherKindOrCutOffByTheEndReachesNobody() throws MetaCommand.Malformed {
-    sent().gives("HD Oa1 c9\r\n");
-    link(1).send(attempt());
+  void replyOfWrongKindOrCutOffIsNotForwarded() throws MetaCommand.Malformed {
+    sendOnNewPool().gives("HD Oa1 c9\r\n");
+    pool(1).send(attempt());
     dialled.get(1).gives("VA 2 Oa1\r\nhi\r");
     dialled.get(1).breaks();
     assertEquals(List.of("PROTOCOL_ERROR", "BROKE_AFTER_LAST_BYTE"), ends);
   }
 
   @Test
-  void ofAGoneNodeNothingIsKept() throws MetaCommand.Malformed {
+  void connectionOfRemovedNodeIsClosedAfterItsAttempt() throws MetaCommand.Malformed {
     nodes("n1");
     pools.send(MetaCommand.hash("n1"), attempt());
-    pools.gone(MetaCommand.hash("n1"));
+    pools.remove(MetaCommand.hash("n1"));
     dialled.get(0).gives("EN Oa1\r\n");
-    assertEquals(List.of("MISS"), ends, "what is out ends by itself");
+    assertEquals(List.of("MISS"), ends, "the attempt in flight is completed");
     assertTrue(dialled.get(0).closed);
   }
 
   @Test
-  void aNodeStartedAnewIsMetOnNewConnections() throws MetaCommand.Malformed {
+  void idleConnectionsAreClosedWhenTheirNodeRestarts() throws MetaCommand.Malformed {
     nodes("n1");
     pools.send(MetaCommand.hash("n1"), attempt());
     dialled.get(0).gives("EN Oa1\r\n");
--- a/src/test/java/pathgw/upstream/OriginConnectionTest.java
+++ b/src/test/java/pathgw/upstream/OriginConnectionTest.java
@@ -9,90 +9,95 @@
 import pathgw.transport.FakeConnection;
 
 /** Attempts at the origin over HTTP. */
-class OriginConnectionTest extends PoolFixture {
+class OriginConnectionTest extends ConnectionPoolFixture {
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
 
-  /** What one answer of the origin becomes, and whether its connection is kept. */
-  private String origin(String command, String answer) throws MetaCommand.Malformed {
-    link(new ConnectionLimit(1), () -> new HttpOriginCodec(ANYWHERE)).send(attempt(command));
-    FakeConnection origin = dialled.get(dialled.size() - 1);
-    origin.gives(answer);
-    return (ends.isEmpty() ? "nothing" : ends.remove(0)) + (origin.closed ? " closed" : "");
+  /** The end of an attempt that gets a given response, and "closed" if its connection is. */
+  private String attemptAtOrigin(String command, String response) throws MetaCommand.Malformed {
+    pool(new ConnectionLimit(1), () -> new HttpOriginCodec(ANYWHERE)).send(attempt(command));
+    FakeConnection connection = dialled.get(dialled.size() - 1);
+    connection.gives(response);
+    return (ends.isEmpty() ? "nothing" : ends.remove(0)) + (connection.closed ? " closed" : "");
   }
 
   @Test
-  void theOriginIsAskedOverHttp() throws MetaCommand.Malformed {
-    assertEquals("ANSWERED VA 2 Oa1\r\nhi\r\n", origin(READ, OK));
+  void readsAndWritesAreSentToOriginAsHttpRequests() throws MetaCommand.Malformed {
+    assertEquals("ANSWERED VA 2 Oa1\r\nhi\r\n", attemptAtOrigin(READ, OK));
     assertEquals(
         "GET /k1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Txn: a1\r\n"
             + "X-Labels: c=read,t=one,d=400\r\n\r\n",
         dialled.get(0).written.toString());
-    assertEquals("ANSWERED HD Ob2 chi\r\n", origin("ms k/ 1 Ob2 Pc=write", OK));
+    assertEquals("ANSWERED HD Ob2 chi\r\n", attemptAtOrigin("ms k/ 1 Ob2 Pc=write", OK));
     assertEquals(
         "PUT /k%2F HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Txn: b2\r\nX-Labels: c=write\r\n"
             + "Content-Length: 1\r\n\r\nv",
         dialled.get(1).written.toString());
     assertEquals(
         "REJECTED",
-        origin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"));
-    assertEquals("FAILED", origin(READ, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"));
+        attemptAtOrigin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"));
+    assertEquals("FAILED", attemptAtOrigin(READ, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"));
   }
 
   @Test
-  void whatStandsAheadOfOrBehindTheOriginsAnswerIsNoAnswer() throws MetaCommand.Malformed {
+  void interimResponsesAreSkippedAndSurplusBytesCloseConnection() throws MetaCommand.Malformed {
     String value = "ANSWERED VA 2 Oa1\r\nhi\r\n";
     assertEquals(
         value,
-        origin(
+        attemptAtOrigin(
             READ,
             "HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n"
                 + "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n"
                 + OK));
-    assertEquals("nothing", origin(READ, "HTTP/1.1 102 Wait\r\n\r\n"));
+    assertEquals("nothing", attemptAtOrigin(READ, "HTTP/1.1 102 Wait\r\n\r\n"));
     assertEquals(
-        value + " closed", origin(READ, OK + OK), "a second copy would answer the next access");
-    assertEquals(value + " closed", origin(READ, OK + "noise"));
+        value + " closed",
+        attemptAtOrigin(READ, OK + OK),
+        "a second copy would be taken for the next response");
+    assertEquals(value + " closed", attemptAtOrigin(READ, OK + "noise"));
   }
 
-  /** A reset is no end: with no length, what came before it may be half of what there is. */
+  /** After a reset a body without a length may be incomplete. */
   @Test
-  void anAnswerWithoutLengthIsWholeOnlyWhereItsConnectionEndsWell() throws MetaCommand.Malformed {
+  void responseWithoutLengthIsCompleteOnlyAtEndOfStream() throws MetaCommand.Malformed {
     String head = "HTTP/1.1 200 OK\r\nX-Txn: a1\r\n\r\n";
-    assertEquals("nothing", origin(READ, head + "h"));
+    assertEquals("nothing", attemptAtOrigin(READ, head + "h"));
     dialled.get(0).gives("i");
     dialled.get(0).ends();
     assertEquals(List.of("ANSWERED VA 2 Oa1\r\nhi\r\n"), ends);
     ends.clear();
-    assertEquals("nothing", origin(READ, head + "hi"));
+    assertEquals("nothing", attemptAtOrigin(READ, head + "hi"));
     dialled.get(1).breaks();
     assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends);
     ends.clear();
-    assertEquals("nothing", origin(READ, head.replace("\r\n\r\n", "\r\n")));
+    assertEquals("nothing", attemptAtOrigin(READ, head.replace("\r\n\r\n", "\r\n")));
     dialled.get(2).ends();
-    assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends, "not even its head was whole");
+    assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends, "not even its head was complete");
     ends.clear();
-    assertEquals("REJECTED closed", origin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n\r\n"));
     assertEquals(
-        "PROTOCOL_ERROR closed", origin(READ, head + "x".repeat(MetaCommand.LONGEST_ANSWER + 1)));
+        "REJECTED closed", attemptAtOrigin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n\r\n"));
+    assertEquals(
+        "PROTOCOL_ERROR closed",
+        attemptAtOrigin(READ, head + "x".repeat(MetaCommand.LONGEST_ANSWER + 1)));
     assertEquals(
         "ANSWERED VA 2 Oa1\r\nhi\r\n closed",
-        origin(READ, OK.replace("Con", "Connection: close\r\nCon")),
+        attemptAtOrigin(READ, OK.replace("Con", "Connection: close\r\nCon")),
         "nothing follows on it");
   }
 
   @Test
-  void theOriginMayAnswerInChunks() throws MetaCommand.Malformed {
+  void chunkedResponseIsDecoded() throws MetaCommand.Malformed {
     String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     assertEquals(
         "ANSWERED VA 4 Oa1\r\nhi\r\n\r\n",
-        origin(READ, head + "1;x\r\nh\r\n3\r\ni\r\n\r\n0\r\nT: x\r\n\r\n"));
+        attemptAtOrigin(READ, head + "1;x\r\nh\r\n3\r\ni\r\n\r\n0\r\nT: x\r\n\r\n"));
     assertEquals(
-        "PROTOCOL_ERROR closed", origin(READ, head + "5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"));
+        "PROTOCOL_ERROR closed",
+        attemptAtOrigin(READ, head + "5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"));
   }
 
   @Test
-  void aSpoiltAnswerOfTheOriginReachesNobody() throws MetaCommand.Malformed {
-    for (String answer :
+  void malformedResponseIsNotForwarded() throws MetaCommand.Malformed {
+    for (String response :
         new String[] {
           "noise\r\n\r\n",
           OK.replace("2\r", "-2\r"),
@@ -104,8 +109,10 @@
           OK.replace("2\r", "3000000000\r") + "x".repeat(1_100_000),
           OK.replace("Con", "X-Txn: b2\r\nCon")
         }) {
-      assertEquals("PROTOCOL_ERROR closed", origin(READ, answer), answer.substring(0, 9));
+      assertEquals(
+          "PROTOCOL_ERROR closed", attemptAtOrigin(READ, response), response.substring(0, 9));
     }
-    assertEquals("PROTOCOL_ERROR closed", origin("ms k 1 Ob2 Pc=write", OK.replace("hi", "\r\n")));
+    assertEquals(
+        "PROTOCOL_ERROR closed", attemptAtOrigin("ms k 1 Ob2 Pc=write", OK.replace("hi", "\r\n")));
   }
 }
