--- a/src/main/java/pathgw/request/ActiveRequest.java
+++ b/src/main/java/pathgw/request/ActiveRequest.java
@@ -60,13 +60,13 @@
         engine ->
             engine.requestArrived(
                 engineId,
-                command.requestClass,
-                command.tenant,
+                command.requestClass(),
+                command.tenant(),
                 command.keyHash(),
                 deadline,
                 Duration.ZERO,
-                command.repeat,
-                command.write));
+                command.isRetry(),
+                command.isWrite()));
   }
 
   /** A request read after its deadline is for the engine to reject, so it is given the grace. */
@@ -78,14 +78,14 @@
 
   /** A fault in the decision engine must not leave a client without its response. */
   private void failUndecided() {
-    LOG.log(Level.ERROR, () -> "request " + command.id + " undecided past its deadline, failed");
+    LOG.log(Level.ERROR, () -> "request " + command.id() + " undecided past its deadline, failed");
     abandon(() -> response.complete(MetaResponses.FAILED));
   }
 
   @Override
   public void attempt(Duration attemptTimeout, Duration sendWithin, long node) {
     int number = attempts.size();
-    observer.attemptStarted(command.id, number);
+    observer.attemptStarted(command.id(), number);
     Duration startedAt = timers.now();
     Attempt attempt =
         new Attempt(
@@ -104,7 +104,7 @@
   }
 
   private void attemptEnded(int number, Duration startedAt, AttemptEnd end, Buffer bytes) {
-    observer.attemptEnded(command.id, end.name());
+    observer.attemptEnded(command.id(), end.name());
     if (end.outcome() == AttemptOutcome.SERVED && !ended) {
       end(RequestOutcome.SERVED, () -> response.complete(bytes));
     }
@@ -124,13 +124,13 @@
 
   @Override
   public void reject(Duration retryAfter) {
-    observer.requestRejectedOrFailed(command.id);
+    observer.requestRejectedOrFailed(command.id());
     end(RequestOutcome.REJECTED, () -> response.complete(MetaResponses.rejected(retryAfter)));
   }
 
   @Override
   public void fail() {
-    observer.requestRejectedOrFailed(command.id);
+    observer.requestRejectedOrFailed(command.id());
     end(RequestOutcome.FAILED, () -> response.complete(MetaResponses.FAILED));
   }
 
@@ -148,7 +148,7 @@
       return;
     }
     ended = true;
-    observer.requestEnded(command.id, outcome, attempts.size());
+    observer.requestEnded(command.id(), outcome, attempts.size());
     timers.cancel(undecidedTimer);
     respond.run();
     // An attempt still waiting for its connection would start for nobody.
@@ -163,7 +163,7 @@
   private void closeIfOver() {
     if (ended && attempts.stream().allMatch(Attempt::ended)) {
       driver.close(engineId);
-      handler.releaseId(command.id);
+      handler.releaseId(command.id());
     }
   }
 }
--- a/src/main/java/pathgw/upstream/PooledConnection.java
+++ b/src/main/java/pathgw/upstream/PooledConnection.java
@@ -51,7 +51,7 @@
 
   /** Whether the reply to a command names that command. */
   boolean repliesName(MetaCommand command) {
-    return codec.names(command);
+    return codec.repliesName(command);
   }
 
   /** Sends an attempt on this connection, which is open and carries nothing. */
@@ -64,7 +64,7 @@
     this.attempt = attempt;
     attempt.startOn(this::close);
     connection
-        .write(codec.ask(attempt.command(), attempt.timeLeft()))
+        .write(codec.startRequest(attempt.command(), attempt.timeLeft()))
         .onSuccess(written -> attempt.lastByteWritten());
   }
 
@@ -103,7 +103,7 @@
   /** An end of stream may complete a reply without a length; a reset completes nothing. */
   private void endAttempt(Connection.CloseReason reason) {
     boolean endOfStream = reason == Connection.CloseReason.END_OF_STREAM;
-    UpstreamCodec.Reply reply = endOfStream ? codec.ended() : null;
+    UpstreamCodec.Reply reply = endOfStream ? codec.endOfStream() : null;
     if (reply == null) {
       attempt.connectionLost();
     } else {
@@ -131,7 +131,7 @@
   /** The reply that these bytes complete, or null. */
   private UpstreamCodec.Reply decode(Buffer bytes) {
     try {
-      return codec.take(bytes);
+      return codec.decode(bytes);
     } catch (RuntimeException e) {
       LOG.log(Level.ERROR, "node " + pool.address() + " connection closed: internal error", e);
       return UpstreamCodec.Reply.MALFORMED;
@@ -142,9 +142,9 @@
   private void finishReply(UpstreamCodec.Reply reply, Buffer bytes) {
     if (reply.status() == ReplyStatus.MALFORMED) {
       closeUnusable("malformed reply", bytes);
-    } else if (codec.more()) {
+    } else if (codec.hasSurplus()) {
       closeUnusable("surplus bytes after a reply", bytes);
-    } else if (codec.last()) {
+    } else if (codec.closesConnection()) {
       attempt = null;
       close();
     } else {
--- a/src/test/java/pathgw/client/ClientConnectionTest.java
+++ b/src/test/java/pathgw/client/ClientConnectionTest.java
@@ -12,7 +12,7 @@
 /** One connection of a client: commands in, responses out in their order. */
 class ClientConnectionTest extends NetworkFixture {
   @Test
-  void answersComeInTheOrderOfCommands() {
+  void responsesAreSentInTheOrderOfCommands() {
     nodes("n1");
     FakeConnection client = client();
     client.gives(READ + "mn\r\nquit\r\n");
@@ -24,7 +24,7 @@
   }
 
   @Test
-  void outOfStepAClientIsToldAndClosed() {
+  void clientWhoseFramingIsLostIsSentAnErrorAndClosed() {
     for (String bytes :
         new String[] {
           "ms k 70000 Oa Pc=write\r\n",
@@ -38,17 +38,20 @@
       FakeConnection client = client();
       client.gives(bytes);
       client.gives("mn\r\n" + "y".repeat(5000));
-      String told = client.written.toString();
-      assertTrue(told.startsWith("CLIENT_ERROR ") && told.indexOf('\n') == told.length() - 1, told);
-      assertFalse(client.closed, "what it still sends would reset it, and the line be lost");
-      assertTrue(client.endsWriting, "or it would be asked again, and the command be thrown away");
+      String response = client.written.toString();
+      assertTrue(
+          response.startsWith("CLIENT_ERROR ") && response.indexOf('\n') == response.length() - 1,
+          response);
+      assertFalse(client.closed, "unread bytes would reset the connection and lose the response");
+      assertTrue(
+          client.endsWriting, "or the client would send another command, which would be discarded");
       after(500);
       assertTrue(client.closed);
     }
   }
 
   @Test
-  void hundredsOfCommandsAtOnceAreAnsweredInFewWrites() {
+  void responsesToPipelinedCommandsAreWrittenTogether() {
     FakeConnection client = client();
     client.gives("mn\r\n".repeat(300));
     assertEquals("MN\r\n".repeat(300), client.written.toString());
@@ -56,64 +59,64 @@
   }
 
   @Test
-  void aLargeValueGoesOnInPiecesAsTheClientReads() {
+  void largeValueIsWrittenInPiecesAndClientThatNeverReadsIsClosed() {
     nodes("n1");
     FakeConnection socket = client();
     socket.gives(READ);
-    String answer = "VA 400000 Oa1\r\n" + "v".repeat(400_000) + "\r\n";
-    dialled.get(0).gives(answer);
-    assertEquals(answer, socket.written.toString());
-    assertTrue(socket.timesWritten >= 6, "in one it would be kept whole outside the heap");
+    String response = "VA 400000 Oa1\r\n" + "v".repeat(400_000) + "\r\n";
+    dialled.get(0).gives(response);
+    assertEquals(response, socket.written.toString());
+    assertTrue(socket.timesWritten >= 6, "one write would be copied as a whole outside the heap");
     socket.full = true;
     socket.gives(READ.replace("Oa1", "Oa2"));
     dialled.get(dialled.size() - 1).gives("VA 2 Oa2\r\nhi\r\n");
-    assertEquals(answer.length(), socket.written.length());
-    assertFalse(client.idle());
+    assertEquals(response.length(), socket.written.length());
+    assertFalse(client.isIdle());
     socket.drains();
-    assertEquals("VA 2 Oa2\r\nhi\r\n", socket.written.substring(answer.length()));
+    assertEquals("VA 2 Oa2\r\nhi\r\n", socket.written.substring(response.length()));
     socket.full = true;
     socket.gives(READ.replace("Oa1", "Oa3"));
     dialled.get(dialled.size() - 1).gives("VA 2 Oa3\r\nhi\r\n");
-    nanos += Duration.ofSeconds(3).toNanos();
-    client.cutOffIfStuck(Duration.ofSeconds(3));
-    assertTrue(socket.closed, "what is never read takes memory");
+    clock.skip(Duration.ofSeconds(3));
+    client.closeIfStuck(Duration.ofSeconds(3));
+    assertTrue(socket.closed, "unread responses take memory");
   }
 
   @Test
-  void aMalformedWriteKeepsItsConnectionInStep() {
+  void commandAfterMalformedWriteIsStillRead() {
     FakeConnection client = client();
     client.gives("ms k 2 Oa Pc=none\r\nmn\r\nmn\r\n");
     assertEquals("CLIENT_ERROR no known class\r\nMN\r\n", client.written.toString());
   }
 
   @Test
-  void atTheStopAConnectionEndsBehindItsLastAnswer() {
+  void drainingConnectionEndsAfterItsLastResponse() {
     nodes("n1");
     FakeConnection socket = client();
     socket.gives(READ);
-    client.endBetweenCommands();
+    client.drain();
     assertFalse(socket.endsWriting);
     socket.gives("mg k1 v Oa2 Pc=read,t=one,d=480\r\n");
     dialled.get(0).gives("VA 2 Oa1\r\nhi\r\n");
     assertEquals(
         "VA 2 Oa1\r\nhi\r\nSERVER_ERROR busy\r\n",
         socket.written.toString(),
-        "what is read before the end is answered");
+        "commands read before the end are answered");
     assertTrue(socket.endsWriting);
-    assertFalse(socket.closed, "a reset would take the last answer along");
+    assertFalse(socket.closed, "a reset would lose the last response");
     socket.gives("mg k1 v Oa3 Pc=read,t=one,d=480\r\n");
-    assertEquals(1, dialled.size(), "what is read after the end is not sent on");
+    assertEquals(1, dialled.size(), "commands read after the end are not forwarded");
     after(500);
     assertTrue(socket.closed);
   }
 
-  /** Read and held back, since as many are owed answers: it has been taken all the same. */
+  /** They were read before the drain, but not handled since too many responses were owed. */
   @Test
-  void atTheStopWhatIsHeldBackIsAnsweredToo() {
+  void drainingConnectionAnswersCommandsThatWerePaused() {
     nodes("n1");
     FakeConnection socket = client();
     socket.gives(READ + "mn\r\n".repeat(20));
-    client.endBetweenCommands();
+    client.drain();
     assertEquals("", socket.written.toString());
     dialled.get(0).gives("VA 2 Oa1\r\nhi\r\n");
     assertEquals("VA 2 Oa1\r\nhi\r\n" + "MN\r\n".repeat(20), socket.written.toString());
@@ -121,7 +124,7 @@
   }
 
   @Test
-  void halfACommandAndACloseIsNoCommand() {
+  void incompleteCommandBeforeCloseIsNotSent() {
     nodes("n1");
     FakeConnection client = client();
     client.gives(READ.trim());
@@ -130,28 +133,30 @@
   }
 
   @Test
-  void whoSaysNothingOrHalfACommandIsIdle() {
+  void clientWithoutOrWithIncompleteFirstCommandIsIdle() {
     nodes("n1");
     FakeConnection socket = client();
     socket.gives("ms k 2 Oa Pc=wr");
     after(2000);
-    assertFalse(client.idleFor(Duration.ofSeconds(2)), "the loop stood still: more may lie unread");
+    assertFalse(
+        client.idleFor(Duration.ofSeconds(2)),
+        "the event loop was behind: a command may lie unread");
     after(1);
     assertTrue(client.idleFor(Duration.ofSeconds(2)));
     client();
     assertFalse(client.idleFor(Duration.ofSeconds(2)));
-    assertEquals(1, client.standing());
+    assertEquals(ClientActivity.NEVER_ASKED, client.activity());
     FakeConnection slow = client();
     slow.gives("mn\r\n");
-    nanos += Duration.ofMillis(1900).toNanos();
+    clock.skip(Duration.ofMillis(1900));
     slow.gives("mg k1 v O");
-    nanos += Duration.ofMillis(1900).toNanos();
-    assertFalse(client.idleFor(Duration.ofSeconds(2)), "what comes slowly has begun");
+    clock.skip(Duration.ofMillis(1900));
+    assertFalse(client.idleFor(Duration.ofSeconds(2)), "a command that arrives slowly has begun");
   }
 
-  /** 30 requests of one recorded day were lost so: the loop had been stopped for 252 ms. */
+  /** Without this, 30 requests were lost on one recorded day after a pause of 252 ms. */
   @Test
-  void whoseCommandMayLieUnreadIsNotClosedAsIdle() {
+  void clientIsNotIdleWhileEventLoopIsBehind() {
     nodes("n1");
     FakeConnection socket = client();
     socket.gives("mn\r\n");
--- a/src/test/java/pathgw/codec/MetaCommandTest.java
+++ b/src/test/java/pathgw/codec/MetaCommandTest.java
@@ -4,29 +4,28 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import pathgw.fixture.NetworkFixture;
 
-/** What is read from a meta command, and what of it is written to a node. */
+/** Parsing of meta commands and their form when they are forwarded. */
 class MetaCommandTest extends NetworkFixture {
   @Test
-  void onlyTheWaitIsWrittenAnew() throws MetaCommand.Malformed {
+  void onlyTheClientTimeoutIsReplacedWhenForwarded() throws MalformedCommandException {
     MetaCommand read = command("mg k1 v Oa1 Pc=read,d=480,zz=5,t=one x\r\n");
     assertEquals(
         "mg k1 v Oa1 Pc=read,d=77,zz=5,t=one x\r\n", read.encode(Duration.ofMillis(77)).toString());
-    MetaCommand write = command("ms k1 2 Oa1 Pc=write,k=9,d=300").with(Buffer.buffer("hi"));
+    MetaCommand write = command("ms k1 2 Oa1 Pc=write,k=9,d=300", "hi");
     assertEquals(
         "ms k1 2 Oa1 Pc=write,k=9,d=5\r\nhi\r\n", write.encode(Duration.ofMillis(5)).toString());
-    assertEquals(Duration.ofMillis(300), write.wait);
-    assertEquals(1, write.requestClass);
-    assertTrue(write.write);
+    assertEquals(Duration.ofMillis(300), write.clientTimeout());
+    assertEquals(1, write.requestClass());
+    assertTrue(write.isWrite());
   }
 
-  /** Both codecs write the labels by one method: what stands around the time does not matter. */
+  /** For both protocols, whatever other labels stand around it. */
   @Test
-  void theTimeThatIsLeftIsWrittenWhereverTheLabelStands() throws MetaCommand.Malformed {
+  void timeLeftReplacesTheTimeoutLabelAtAnyPosition() throws MalformedCommandException {
     for (String[] form :
         new String[][] {
           {"c=read,d=480,zz=5", "c=read,d=77,zz=5"},
@@ -41,22 +40,22 @@
       MetaCommand command = command("mg k1 v Oa1 P" + form[0] + " x");
       Duration left = Duration.ofMillis(77);
       assertEquals("mg k1 v Oa1 P" + form[1] + " x\r\n", command.encode(left).toString());
-      String head = new HttpOriginCodec(ANYWHERE).begin(command, left).toString();
+      String head = new HttpOriginCodec(ANYWHERE).encodeRequest(command, left).toString();
       assertTrue(head.contains("\r\nX-Labels: " + form[1] + "\r\n"), head);
     }
-    assertEquals("c=read,d=1", command("mg k v Oa Pc=read,d=9").labels(Duration.ZERO));
+    assertEquals("c=read,d=1", command("mg k v Oa Pc=read,d=9").labelsWithTimeLeft(Duration.ZERO));
   }
 
   @Test
-  void aRetryAndTheTenantAreTakenFromTheLabels() throws MetaCommand.Malformed {
-    assertTrue(command("mg k v Oa Pc=read,t=one,r=1,d=5").repeat);
-    assertEquals(0, command("mg k v Oa Pc=read,t=one,d=5").tenant);
-    assertEquals(1, command("mg k v Oa Pc=read,t=unknown,d=5").tenant, "nobody's quota");
-    assertEquals(Duration.ofMillis(1500), command("mg k v Oa Pc=read").wait);
+  void retryMarkAndTenantAreParsedFromLabels() throws MalformedCommandException {
+    assertTrue(command("mg k v Oa Pc=read,t=one,r=1,d=5").isRetry());
+    assertEquals(0, command("mg k v Oa Pc=read,t=one,d=5").tenant());
+    assertEquals(1, command("mg k v Oa Pc=read,t=unknown,d=5").tenant(), "no tenant's quota");
+    assertEquals(Duration.ofMillis(1500), command("mg k v Oa Pc=read").clientTimeout());
   }
 
   @Test
-  void whatLacksAFieldIsMalformed() {
+  void commandWithMissingOrBadFieldIsMalformed() {
     for (String line :
         new String[] {
           "mg",
@@ -74,12 +73,12 @@
           "mg k v Oa Pc=read,x=\ny",
           "mg " + "k".repeat(251) + " v Oa Pc=read,d=5"
         }) {
-      assertThrows(MetaCommand.Malformed.class, () -> command(line), line);
+      assertThrows(MalformedCommandException.class, () -> command(line), line);
     }
   }
 
   @Test
-  void nobodyWaitsBeyondTheDeadline() throws MetaCommand.Malformed {
-    assertEquals(Duration.ofMillis(1500), command("mg k v Oa Pc=read,d=3600000").wait);
+  void clientTimeoutIsLimitedToTheDeadline() throws MalformedCommandException {
+    assertEquals(Duration.ofMillis(1500), command("mg k v Oa Pc=read,d=3600000").clientTimeout());
   }
 }
--- a/src/test/java/pathgw/discovery/EndpointTest.java
+++ b/src/test/java/pathgw/discovery/EndpointTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
+import pathgw.codec.MalformedCommandException;
 import pathgw.codec.MetaCommand;
 import pathgw.config.Address;
 import pathgw.config.Json;
@@ -15,7 +16,7 @@
 /** Entries of the endpoint list. */
 class EndpointTest extends NetworkFixture {
   @Test
-  void nodesAndKeysHashAlikeEverywhere() throws MetaCommand.Malformed {
+  void nodesAndKeysHashAlikeEverywhere() throws MalformedCommandException {
     assertEquals(command("mg k1 v Oa Pc=read").keyHash(), command("ms k1 0 Ob Pc=write").keyHash());
     Endpoint here = new Endpoint("s-1", ANYWHERE, EndpointState.READY, 0, 0, 0, 0);
     Endpoint there =
--- a/src/test/java/pathgw/request/RequestHandlerTest.java
+++ b/src/test/java/pathgw/request/RequestHandlerTest.java
@@ -10,7 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pathgw.codec.MetaCommand;
+import pathgw.codec.MalformedCommandException;
 import pathgw.config.Config;
 import pathgw.config.TestConfig;
 import pathgw.decision.DecisionEngine;
@@ -24,7 +24,7 @@
 /** One request from its arrival to its one response. */
 class RequestHandlerTest extends NetworkFixture {
   @Test
-  void anIdThatIsStillOpenIsNotTakenTwice() {
+  void requestIdInUseIsRejectedUntilItsRequestEnds() {
     nodes("n1");
     client().gives(READ);
     FakeConnection other = client();
@@ -33,11 +33,11 @@
     dialled.get(0).gives("EN Oa1\r\n");
     assertEquals(1, dialled.size());
     other.gives(READ);
-    assertEquals(2, dialled.size(), "it has ended");
+    assertEquals(2, dialled.size(), "the first request has ended");
   }
 
   @Test
-  void withoutAnyNodeARequestIsDenied() {
+  void requestWithoutAnyNodeIsRejected() {
     FakeConnection client = client();
     client.gives(READ);
     assertEquals("SERVER_ERROR busy 1500\r\n", client.written.toString());
@@ -45,18 +45,18 @@
   }
 
   @Test
-  void nothingIsSentForAClientThatHasGone() {
+  void attemptIsCancelledWhenItsClientGoes() {
     nodes("n1", "n2");
     FakeConnection client = client();
     client.gives(READ);
     client.breaks();
-    assertTrue(dialled.get(0).closed, "what is out is taken back");
+    assertTrue(dialled.get(0).closed, "the attempt in flight is cancelled");
     assertEquals(1, dialled.size());
     assertEquals(0, driver.open());
   }
 
   @Test
-  void aNodeThatBreaksLeavesTheRequestToTheNext() {
+  void requestIsRetriedOnAnotherNodeAfterConnectionLoss() {
     nodes("n1", "n2");
     FakeConnection client = client();
     client.gives(READ);
@@ -67,14 +67,14 @@
   }
 
   @Test
-  void whatLayUnreadThroughAPauseIsDueEarlier() {
+  void deadlineOfRequestUnreadDuringAPauseIsEarlier() {
     nodes("n1");
-    nanos = Duration.ofMillis(100).toNanos();
+    clock.skip(Duration.ofMillis(100));
     timers.schedule(Duration.ofMillis(1), () -> {});
-    nanos = Duration.ofMillis(700).toNanos();
+    clock.skip(Duration.ofMillis(600));
     FakeConnection client = client();
     client.gives(READ);
-    assertEquals("", client.written.toString(), "news may lie unread behind it");
+    assertEquals("", client.written.toString(), "an endpoint update may lie unread behind it");
     after(0);
     FakeConnection later = client();
     later.gives(READ.replace("Oa1", "Oa2"));
@@ -85,46 +85,46 @@
     assertEquals(
         "SERVER_ERROR busy 1500\r\n",
         later.written.toString(),
-        "read after the late timers, it had come before them all the same");
+        "read after the late timers, but received before them");
     later.gives(READ.replace("Oa1", "Oa3"));
-    assertEquals(1, dialled.size(), "what comes once all has been read is new");
+    assertEquals(1, dialled.size(), "a command that comes after the pause is new");
   }
 
   @Test
   void requestForgottenByDecisionEngineIsStillFailedAfterItsDeadline()
-      throws MetaCommand.Malformed {
-    ArrayDeque<Buffer> answers = new ArrayDeque<>();
+      throws MalformedCommandException {
+    ArrayDeque<Buffer> responses = new ArrayDeque<>();
     PendingResponse[] response = new PendingResponse[1];
-    response[0] = new PendingResponse(() -> answers.add(response[0].bytes()));
+    response[0] = new PendingResponse(() -> responses.add(response[0].bytes()));
     nodes("n1");
     requestHandler.handle(command(READ), response[0]);
     driver.submit(engine -> engine.requestAbandoned(1));
     after(480 + 25);
     assertEquals(
-        List.of("SERVER_ERROR failed\r\n"), answers.stream().map(Buffer::toString).toList());
+        List.of("SERVER_ERROR failed\r\n"), responses.stream().map(Buffer::toString).toList());
   }
 
-  /** Also where the settings allow no cancel: what has not begun is no work that goes on. */
+  /** Also where the settings forbid cancelling: nothing has been sent yet. */
   @Test
-  void whatWaitsForAConnectionLeavesWithItsClient() {
-    Config uncancelled =
+  void attemptWaitingForItsConnectionIsNotSentAfterItsClientGoes() {
+    Config configWithoutCancel =
         Config.read(
             TestConfig.json()
                 .replace("\"cancel\": true", "\"cancel\": false")
                 .getBytes(StandardCharsets.UTF_8));
-    driver = new DecisionDriver(timers, new DecisionEngine(uncancelled.settings(), 1));
+    driver = new DecisionDriver(timers, new DecisionEngine(configWithoutCancel.settings(), 1));
     driver.reaches(() -> {}, () -> {}, (node, success) -> {}, pools::closeIdle);
     Promise<Connection> connecting = Promise.promise();
     pools = new UpstreamPools(to -> connecting.future(), this::dial, timers, CONFIG, 8);
     requestHandler =
         new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), RequestObserver.NONE);
     nodes("n1");
-    FakeConnection gone = client();
-    gone.gives(READ);
-    gone.ends();
-    FakeConnection up = new FakeConnection();
-    connecting.complete(up);
-    assertEquals("", up.written.toString());
+    FakeConnection closedClient = client();
+    closedClient.gives(READ);
+    closedClient.ends();
+    FakeConnection connection = new FakeConnection();
+    connecting.complete(connection);
+    assertEquals("", connection.written.toString());
     assertEquals(0, driver.open());
   }
 }
--- a/src/test/java/pathgw/upstream/ConnectionPoolFixture.java
+++ b/src/test/java/pathgw/upstream/ConnectionPoolFixture.java
@@ -1,24 +1,33 @@
 package pathgw.upstream;
 
-import io.vertx.core.buffer.Buffer;
+import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import java.util.function.Supplier;
+import pathgw.codec.MalformedCommandException;
 import pathgw.codec.MetaCodec;
 import pathgw.codec.MetaCommand;
 import pathgw.codec.UpstreamCodec;
+import pathgw.config.Address;
 import pathgw.fixture.NetworkFixture;
+import pathgw.transport.Connection;
 import pathgw.transport.FakeConnection;
 
 /** Connection pools to one endpoint and attempts whose ends are recorded. */
 abstract class ConnectionPoolFixture extends NetworkFixture {
-  protected Attempt attempt() throws MetaCommand.Malformed {
+  private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(11);
+
+  /** The end of each attempt, followed by its response if there is one. */
+  protected final List<String> ends = new ArrayList<>();
+
+  protected Attempt attempt() throws MalformedCommandException {
     return attempt(READ);
   }
 
-  protected Attempt attempt(String line) throws MetaCommand.Malformed {
-    MetaCommand metaCommand = command(line).with(Buffer.buffer(line.startsWith("ms") ? "v" : ""));
+  protected Attempt attempt(String line) throws MalformedCommandException {
+    MetaCommand metaCommand = command(line, line.startsWith("ms") ? "v" : "");
     return new Attempt(
         timers,
         metaCommand,
@@ -32,14 +41,24 @@
   }
 
   protected ConnectionPool pool(ConnectionLimit limit, Supplier<UpstreamCodec> codecs) {
-    return new ConnectionPool(this::dial, codecs, timers, limit, ANYWHERE, Duration.ofSeconds(11));
+    return new ConnectionPool(this::dial, codecs, timers, limit, ANYWHERE, MAX_IDLE_TIME);
+  }
+
+  protected ConnectionPool pool(
+      Function<Address, Future<Connection>> connector, ConnectionLimit limit) {
+    return new ConnectionPool(connector, MetaCodec::new, timers, limit, ANYWHERE, MAX_IDLE_TIME);
   }
 
-  protected FakeConnection sendOnNewPool() throws MetaCommand.Malformed {
+  protected FakeConnection sendOnNewPool() throws MalformedCommandException {
     pool(1).send(attempt());
     return dialled.get(0);
   }
 
-  /** The end of each attempt, followed by its response if there is one. */
-  protected final List<String> ends = new ArrayList<>();
+  /** Sends an attempt on a connection whose bytes never reach the network. */
+  protected FakeConnection sendWithoutWriting() throws MalformedCommandException {
+    Future<Connection> connection = dial(ANYWHERE);
+    dialled.get(0).writes = false;
+    pool(address -> connection, new ConnectionLimit(1)).send(attempt());
+    return dialled.get(0);
+  }
 }
--- a/src/test/java/pathgw/upstream/ConnectionPoolTest.java
+++ b/src/test/java/pathgw/upstream/ConnectionPoolTest.java
@@ -6,19 +6,18 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
-import java.time.Duration;
 import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
+import pathgw.codec.MalformedCommandException;
 import pathgw.codec.MetaCodec;
 import pathgw.codec.MetaCommand;
 import pathgw.decision.AttemptOutcome;
 import pathgw.decision.EndpointState;
 import pathgw.discovery.Endpoint;
-import pathgw.transport.Connection;
 import pathgw.transport.FakeConnection;
 
 /** Connections to one cache node, and what the end of each attempt on them means. */
@@ -48,44 +47,27 @@
   }
 
   @Test
-  void requestWhoseConnectionBreaksBeforeLastByteNeverRan() throws MetaCommand.Malformed {
-    Future<Connection> connection = dial(ANYWHERE);
-    dialled.get(0).writes = false;
-    new ConnectionPool(
-            to -> connection,
-            MetaCodec::new,
-            timers,
-            new ConnectionLimit(1),
-            ANYWHERE,
-            Duration.ofSeconds(11))
-        .send(attempt());
-    dialled.get(0).breaks();
+  void requestWhoseConnectionBreaksBeforeLastByteNeverRan() throws MalformedCommandException {
+    sendWithoutWriting().breaks();
     assertEquals(List.of("BROKE_BEFORE_LAST_BYTE"), ends);
   }
 
   @Test
-  void requestWhoseConnectionBreaksAfterLastByteMayHaveRun() throws MetaCommand.Malformed {
+  void requestWhoseConnectionBreaksAfterLastByteMayHaveRun() throws MalformedCommandException {
     sendOnNewPool().breaks();
     assertEquals(List.of("BROKE_AFTER_LAST_BYTE"), ends);
   }
 
   @Test
-  void refusedConnectionReleasesItsPermit() throws MetaCommand.Malformed {
+  void refusedConnectionReleasesItsPermit() throws MalformedCommandException {
     ConnectionLimit limit = new ConnectionLimit(1);
-    new ConnectionPool(
-            to -> Future.failedFuture("refused"),
-            MetaCodec::new,
-            timers,
-            limit,
-            ANYWHERE,
-            Duration.ofSeconds(11))
-        .send(attempt());
+    pool(address -> Future.failedFuture("refused"), limit).send(attempt());
     assertEquals(List.of("CONNECT_REFUSED"), ends);
     assertTrue(limit.tryAcquire());
   }
 
   @Test
-  void attemptEndsOnceAndCancelClosesItsConnection() throws MetaCommand.Malformed {
+  void attemptEndsOnceAndCancelClosesItsConnection() throws MalformedCommandException {
     Attempt attempt = attempt();
     pool(1).send(attempt);
     attempt.cancel();
@@ -95,7 +77,7 @@
   }
 
   @Test
-  void attemptIsNotSentAfterItsSendTimeAndConnectionStaysOpen() throws MetaCommand.Malformed {
+  void attemptIsNotSentAfterItsSendTimeAndConnectionStaysOpen() throws MalformedCommandException {
     Attempt late = attempt();
     after(60);
     pool(1).send(late);
@@ -108,34 +90,24 @@
    * The rest of a long value would reach the node when it may have forgotten the idempotency key.
    */
   @Test
-  void attemptNotCompletelyWrittenWithinSendTimeIsCancelled() throws MetaCommand.Malformed {
-    Future<Connection> connection = dial(ANYWHERE);
-    dialled.get(0).writes = false;
-    new ConnectionPool(
-            to -> connection,
-            MetaCodec::new,
-            timers,
-            new ConnectionLimit(1),
-            ANYWHERE,
-            Duration.ofSeconds(11))
-        .send(attempt());
+  void attemptNotCompletelyWrittenWithinSendTimeIsCancelled() throws MalformedCommandException {
+    FakeConnection connection = sendWithoutWriting();
     after(50);
     assertEquals(List.of(), ends);
     after(10);
     assertEquals(List.of("TIMED_OUT_BEFORE_LAST_BYTE"), ends);
-    assertTrue(dialled.get(0).closed);
+    assertTrue(connection.closed);
   }
 
   @Test
-  void attemptWithoutReplyTimesOut() throws MetaCommand.Malformed {
+  void attemptWithoutReplyTimesOut() throws MalformedCommandException {
     sendOnNewPool();
-    nanos = Duration.ofMillis(400).toNanos();
-    after(0);
+    after(400);
     assertEquals(List.of("TIMED_OUT"), ends);
   }
 
   @Test
-  void valueIsForwardedUnchanged() throws MetaCommand.Malformed {
+  void valueIsForwardedUnchanged() throws MalformedCommandException {
     FakeConnection node = sendOnNewPool();
     node.gives("VA 2 Oa1 h");
     node.gives("1\r\n\r\n");
@@ -145,14 +117,14 @@
   }
 
   @Test
-  void replyToAnotherRequestIsAProtocolError() throws MetaCommand.Malformed {
+  void replyToAnotherRequestIsAProtocolError() throws MalformedCommandException {
     sendOnNewPool().gives("VA 2 Ob2\r\nhi\r\n");
     assertEquals(List.of("PROTOCOL_ERROR"), ends);
     assertTrue(dialled.get(0).closed);
   }
 
   @Test
-  void repliesOfNodesMapToAttemptEnds() throws MetaCommand.Malformed {
+  void repliesOfNodesMapToAttemptEnds() throws MalformedCommandException {
     for (String line :
         new String[] {"EN Oa1", "SERVER_ERROR busy", "SERVER_ERROR failed", "HD Oa1 c9", "VA x"}) {
       pool(1).send(attempt(line.startsWith("HD") ? "ms k1 1 Oa1 Pc=write" : READ));
@@ -163,7 +135,7 @@
   }
 
   @Test
-  void settledConnectionIsReusedAndExpiredOneIsClosed() throws MetaCommand.Malformed {
+  void settledConnectionIsReusedAndExpiredOneIsClosed() throws MalformedCommandException {
     ConnectionPool pool = pool(2);
     pool.send(attempt());
     dialled.get(0).gives("EN Oa1\r\n");
@@ -178,7 +150,7 @@
   }
 
   @Test
-  void idleConnectionOfAnotherPoolIsClosedAtTheLimit() throws MetaCommand.Malformed {
+  void idleConnectionOfAnotherPoolIsClosedAtTheLimit() throws MalformedCommandException {
     ConnectionLimit limit = new ConnectionLimit(1);
     ConnectionPool one = pool(limit, MetaCodec::new);
     ConnectionPool other = pool(limit, MetaCodec::new);
@@ -192,7 +164,7 @@
   }
 
   @Test
-  void decisionEngineClosesIdleConnectionsOfOneNodeOnly() throws MetaCommand.Malformed {
+  void decisionEngineClosesIdleConnectionsOfOneNodeOnly() throws MalformedCommandException {
     nodes("n1", "n2");
     pools.send(MetaCommand.hash("n1"), attempt());
     pools.send(MetaCommand.hash("n2"), attempt());
@@ -204,7 +176,7 @@
   }
 
   @Test
-  void nodeStaysReachableAfterItsIdleConnectionsAreClosed() throws MetaCommand.Malformed {
+  void nodeStaysReachableAfterItsIdleConnectionsAreClosed() throws MalformedCommandException {
     nodes("n1");
     pools.send(MetaCommand.hash("n1"), attempt());
     dialled.get(0).gives("EN Oa1\r\n");
@@ -216,7 +188,7 @@
   }
 
   @Test
-  void connectionWithSurplusBytesIsClosed() throws MetaCommand.Malformed {
+  void connectionWithSurplusBytesIsClosed() throws MalformedCommandException {
     for (String surplus : new String[] {"VA 2 Oa1\r\nhi\r\n", "?", "\r\n"}) {
       ConnectionPool pool = pool(2);
       pool.send(attempt());
@@ -233,7 +205,7 @@
   }
 
   @Test
-  void replyThatStallsHalfWayIsAProtocolError() throws MetaCommand.Malformed {
+  void replyThatStallsHalfWayIsAProtocolError() throws MalformedCommandException {
     FakeConnection node = sendOnNewPool();
     node.gives("VA 9 Oa1\r\nhi");
     after(100);
@@ -246,7 +218,7 @@
   }
 
   @Test
-  void replyOfWrongKindOrCutOffIsNotForwarded() throws MetaCommand.Malformed {
+  void replyOfWrongKindOrCutOffIsNotForwarded() throws MalformedCommandException {
     sendOnNewPool().gives("HD Oa1 c9\r\n");
     pool(1).send(attempt());
     dialled.get(1).gives("VA 2 Oa1\r\nhi\r");
@@ -255,7 +227,7 @@
   }
 
   @Test
-  void connectionOfRemovedNodeIsClosedAfterItsAttempt() throws MetaCommand.Malformed {
+  void connectionOfRemovedNodeIsClosedAfterItsAttempt() throws MalformedCommandException {
     nodes("n1");
     pools.send(MetaCommand.hash("n1"), attempt());
     pools.remove(MetaCommand.hash("n1"));
@@ -265,7 +237,7 @@
   }
 
   @Test
-  void idleConnectionsAreClosedWhenTheirNodeRestarts() throws MetaCommand.Malformed {
+  void idleConnectionsAreClosedWhenTheirNodeRestarts() throws MalformedCommandException {
     nodes("n1");
     pools.send(MetaCommand.hash("n1"), attempt());
     dialled.get(0).gives("EN Oa1\r\n");
--- a/src/test/java/pathgw/upstream/OriginConnectionTest.java
+++ b/src/test/java/pathgw/upstream/OriginConnectionTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import pathgw.codec.HttpOriginCodec;
+import pathgw.codec.MalformedCommandException;
 import pathgw.codec.MetaCommand;
 import pathgw.transport.FakeConnection;
 
@@ -13,7 +14,7 @@
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
 
   /** The end of an attempt that gets a given response, and "closed" if its connection is. */
-  private String attemptAtOrigin(String command, String response) throws MetaCommand.Malformed {
+  private String attemptAtOrigin(String command, String response) throws MalformedCommandException {
     pool(new ConnectionLimit(1), () -> new HttpOriginCodec(ANYWHERE)).send(attempt(command));
     FakeConnection connection = dialled.get(dialled.size() - 1);
     connection.gives(response);
@@ -21,7 +22,7 @@
   }
 
   @Test
-  void readsAndWritesAreSentToOriginAsHttpRequests() throws MetaCommand.Malformed {
+  void readsAndWritesAreSentToOriginAsHttpRequests() throws MalformedCommandException {
     assertEquals("ANSWERED VA 2 Oa1\r\nhi\r\n", attemptAtOrigin(READ, OK));
     assertEquals(
         "GET /k1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\nX-Txn: a1\r\n"
@@ -39,7 +40,7 @@
   }
 
   @Test
-  void interimResponsesAreSkippedAndSurplusBytesCloseConnection() throws MetaCommand.Malformed {
+  void interimResponsesAreSkippedAndSurplusBytesCloseConnection() throws MalformedCommandException {
     String value = "ANSWERED VA 2 Oa1\r\nhi\r\n";
     assertEquals(
         value,
@@ -58,7 +59,7 @@
 
   /** After a reset a body without a length may be incomplete. */
   @Test
-  void responseWithoutLengthIsCompleteOnlyAtEndOfStream() throws MetaCommand.Malformed {
+  void responseWithoutLengthIsCompleteOnlyAtEndOfStream() throws MalformedCommandException {
     String head = "HTTP/1.1 200 OK\r\nX-Txn: a1\r\n\r\n";
     assertEquals("nothing", attemptAtOrigin(READ, head + "h"));
     dialled.get(0).gives("i");
@@ -77,7 +78,7 @@
         "REJECTED closed", attemptAtOrigin(READ, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n\r\n"));
     assertEquals(
         "PROTOCOL_ERROR closed",
-        attemptAtOrigin(READ, head + "x".repeat(MetaCommand.LONGEST_ANSWER + 1)));
+        attemptAtOrigin(READ, head + "x".repeat(MetaCommand.MAX_RECEIVED_VALUE_BYTES + 1)));
     assertEquals(
         "ANSWERED VA 2 Oa1\r\nhi\r\n closed",
         attemptAtOrigin(READ, OK.replace("Con", "Connection: close\r\nCon")),
@@ -85,7 +86,7 @@
   }
 
   @Test
-  void chunkedResponseIsDecoded() throws MetaCommand.Malformed {
+  void chunkedResponseIsDecoded() throws MalformedCommandException {
     String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     assertEquals(
         "ANSWERED VA 4 Oa1\r\nhi\r\n\r\n",
@@ -96,7 +97,7 @@
   }
 
   @Test
-  void malformedResponseIsNotForwarded() throws MetaCommand.Malformed {
+  void malformedResponseIsNotForwarded() throws MalformedCommandException {
     for (String response :
         new String[] {
           "noise\r\n\r\n",
