--- a/src/test/java/pathgw/discovery/DiscoveryTest.java
+++ b/src/test/java/pathgw/discovery/DiscoveryTest.java
@@ -10,8 +10,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import pathgw.codec.MetaCommand;
 import pathgw.config.Address;
 import pathgw.config.Config;
@@ -21,8 +24,10 @@
 import pathgw.decision.EndpointState;
 import pathgw.decision.NodeSnapshot;
 import pathgw.fixture.NetworkFixture;
+import pathgw.fixture.TestProxyActions;
 import pathgw.observability.RequestObserver;
 import pathgw.request.RequestHandler;
+import pathgw.snapshot.RestoredSnapshots;
 import pathgw.snapshot.SnapshotFile;
 import pathgw.transport.Connection;
 import pathgw.transport.FakeConnection;
@@ -30,349 +35,363 @@
 
 /** Watches and polls of the endpoint list, and what each kind of end does to the lease on it. */
 class DiscoveryTest extends NetworkFixture {
+  private static final Address OTHER_SERVICE = new Address("127.0.0.1", 7);
+  private static final String RESPONSE_HEAD =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final String EMPTY_LINE = "1\r\n\n\r\n";
+  private static final String UNAVAILABLE = "HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n";
+
+  /** How long an update that was not delivered takes until it is in effect. */
+  private static final int EFFECTIVE_AFTER_MS = 6000;
+
   private Discovery discovery() {
-    return new Discovery(this::dial, timers, driver, pools, CONFIG, new SnapshotFile(), what -> {});
+    return discovery(CONFIG, RestoredSnapshots.none());
+  }
+
+  private Discovery discovery(Config config, RestoredSnapshots snapshots) {
+    return new Discovery(this::dial, timers, driver, pools, config, snapshots, counted -> {});
   }
 
-  private static Json list(int seq, boolean whole, String health) {
-    return Json.read(text(seq, whole, health).getBytes(StandardCharsets.UTF_8), "list");
+  /** Has discovery call when the engine asks for it; without this, the test opens each call. */
+  private void connectToEngine(Discovery discovery) {
+    driver.setProxyActions(new TestProxyActions(pools, discovery));
   }
 
-  private static String text(int seq, boolean whole, String health) {
+  private static String entry(String health) {
+    return "{\"host\":\"n1\",\"dial\":\"127.0.0.1:1\",\"site\":\"here\",\"class\":\"std\","
+        + "\"block\":0,\"health\":\""
+        + health
+        + "\",\"share\":1,\"born_ms\":0}";
+  }
+
+  private static String list(int version, boolean complete, String... entries) {
     return "{\"seq\":"
-        + seq
+        + version
         + ",\"whole\":"
-        + whole
-        + ",\"hosts\":[{\"host\":\"n1\","
-        + "\"dial\":\"127.0.0.1:1\",\"site\":\"here\",\"class\":\"std\",\"block\":0,\"health\":\""
-        + health
-        + "\",\"share\":1,\"born_ms\":0}]}";
+        + complete
+        + ",\"hosts\":["
+        + String.join(",", entries)
+        + "]}";
   }
 
-  @Test
-  void whatWasLearntIsForgottenAfterTheFirstNewsEvenIfItIsAChange(@TempDir Path folder) {
-    long id = MetaCommand.hash("n1");
-    Endpoint n1 = new Endpoint("n1", ANYWHERE, EndpointState.READY, 0, 0, 0, 0);
-    for (boolean late : new boolean[] {false, true}) {
-      DecisionEngine before = new DecisionEngine(CONFIG.settings(), 1);
-      before.beginEndpointUpdate(true, false);
-      before.updateEndpoint(id, EndpointState.READY, null, 0, 0, 0);
-      before.restore(id, new NodeSnapshot(0, 4, 2.9, true));
-      SnapshotFile.write(folder.resolve("learnt"), before, Map.of(id, n1.startedMs()), 1000);
-      start();
-      Discovery discovery =
-          new Discovery(
-              this::dial,
-              timers,
-              driver,
-              pools,
-              CONFIG,
-              SnapshotFile.read(folder.resolve("learnt"), 1000),
-              what -> {});
-      if (late) {
-        String nothing = "{\"seq\":1,\"whole\":false,\"hosts\":[]}";
-        discovery.take(Json.read(nothing.getBytes(StandardCharsets.UTF_8), "list"), false);
-      }
-      discovery.take(list(5, false, "ready"), false);
-      boolean[] suspected = new boolean[1];
-      driver.submit(engine -> suspected[0] = engine.snapshot(id).suspected());
-      assertEquals(!late, suspected[0]);
+  /** The complete list, of one node. */
+  private static String completeList(int version, String health) {
+    return list(version, true, entry(health));
+  }
+
+  /** A change of the list that names the same node. */
+  private static String change(int version, String health) {
+    return list(version, false, entry(health));
+  }
+
+  private static void apply(Discovery discovery, String list) {
+    Json json = Json.read(list.getBytes(StandardCharsets.UTF_8), "list");
+    discovery.apply(json, EndpointListSource.POLL);
+  }
+
+  private static String chunk(String list) {
+    String line = list + "\n";
+    return Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
+  }
+
+  private FakeConnection lastDialled() {
+    return dialled.get(dialled.size() - 1);
+  }
+
+  /** Lets time pass, and answers each call to discovery that is open but for one. */
+  private void passAnsweringCalls(int ms, FakeConnection except, Consumer<FakeConnection> answer) {
+    for (int passed = 0; passed < ms; passed += 10) {
+      pass(10);
+      dialled.stream()
+          .filter(each -> each != except && !each.closed && isDiscoveryCall(each))
+          .toList()
+          .forEach(answer);
     }
   }
 
+  private static boolean isDiscoveryCall(FakeConnection connection) {
+    return connection.written.toString().startsWith("GET");
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void snapshotIsDiscardedAfterFirstUpdateEvenIfThatIsAChange(
+      boolean otherUpdateFirst, @TempDir Path folder) {
+    long node = MetaCommand.hash("n1");
+    Path file = folder.resolve("learnt");
+    DecisionEngine earlierEngine = new DecisionEngine(CONFIG.settings(), 1);
+    earlierEngine.beginEndpointUpdate(true, false);
+    earlierEngine.updateEndpoint(node, EndpointState.READY, null, 0, 0, 0);
+    earlierEngine.restore(node, new NodeSnapshot(0, 4, 2.9, true));
+    SnapshotFile.write(file, earlierEngine, Map.of(node, 0L), 1000);
+    Discovery discovery = discovery(CONFIG, SnapshotFile.read(file, 1000));
+    if (otherUpdateFirst) {
+      apply(discovery, list(1, false));
+    }
+    apply(discovery, change(5, "ready"));
+    boolean[] suspected = new boolean[1];
+    driver.submit(engine -> suspected[0] = engine.snapshot(node).suspected());
+    assertEquals(!otherUpdateFirst, suspected[0]);
+  }
+
   @Test
-  void aChangeThatAWholeListHasOvertakenIsNotApplied() {
+  void changeOlderThanCompleteListIsNotApplied() {
     Discovery discovery = discovery();
-    discovery.take(list(5, true, "ready"), false);
-    discovery.take(list(4, false, "gone"), false);
+    apply(discovery, completeList(5, "ready"));
+    apply(discovery, change(4, "gone"));
     client().gives(READ);
     assertEquals(1, dialled.size());
-    discovery.take(list(6, false, "draining"), false);
-    FakeConnection late = client();
-    late.gives(READ);
-    assertEquals(1, dialled.size(), "nothing new once told");
-  }
-
-  private static final String BEGINS = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-  private static String chunk(int seq, boolean whole, String health) {
-    String line = text(seq, whole, health) + "\n";
-    return Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
+    apply(discovery, change(6, "draining"));
+    client().gives(READ);
+    assertEquals(1, dialled.size(), "no new request once the node is draining");
   }
 
   @Test
-  void anOpenWatchEndsOnlyOnceAnotherHasSpoken() {
+  void openWatchEndsOnlyOnceAnotherHasDeliveredAList() {
     Discovery discovery = discovery();
     discovery.watch();
-    dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
+    FakeConnection firstWatch = dialled.get(0);
+    firstWatch.gives(RESPONSE_HEAD + chunk(completeList(5, "ready")));
     discovery.watch();
     discovery.watch();
-    assertEquals(2, dialled.size(), "one at a time is asked for");
-    dialled.get(1).gives("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n");
-    assertFalse(dialled.get(0).closed);
+    assertEquals(2, dialled.size(), "one call at a time");
+    dialled.get(1).gives(UNAVAILABLE);
+    assertFalse(firstWatch.closed);
     discovery.watch();
-    dialled.get(0).gives(chunk(6, false, "draining"));
-    discovery.take(list(5, true, "ready"), false);
+    firstWatch.gives(chunk(change(6, "draining")));
+    apply(discovery, completeList(5, "ready"));
     client().gives(READ);
-    assertEquals(3, dialled.size(), "nothing to a node that the open watch says is draining");
-    dialled.get(2).gives(BEGINS + chunk(7, true, "ready"));
-    assertTrue(dialled.get(0).closed);
+    assertEquals(3, dialled.size(), "no request to a node that the open watch says is draining");
+    dialled.get(2).gives(RESPONSE_HEAD + chunk(completeList(7, "ready")));
+    assertTrue(firstWatch.closed);
     client().gives(READ);
     assertEquals(4, dialled.size());
   }
 
   @Test
-  void aWatchThatMissesALineIsAskedForAnewBeforeItsNewsCountsAsTold() {
+  void anotherWatchIsOpenedSoonAfterAMissingLine() {
     Discovery discovery = discovery();
-    driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, node -> {});
+    connectToEngine(discovery);
     driver.submit(engine -> {});
     pass(3400);
     assertEquals(1, dialled.size(), "a call may wait for its turn");
     pass(1200);
-    assertTrue(dialled.get(0).closed, "but not for as long as its news may stay untold");
+    assertTrue(dialled.get(0).closed, "but not until a missed update may be in effect");
     assertEquals(2, dialled.size());
     dialled.remove(0);
-    dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
+    dialled.get(0).gives(RESPONSE_HEAD + chunk(completeList(5, "ready")));
     pass(2100);
-    dialled.get(0).gives("1\r\n\n\r\n");
+    dialled.get(0).gives(EMPTY_LINE);
     pass(2200);
     assertEquals(1, dialled.size(), "one line may be late");
     pass(350);
-    assertEquals(2, dialled.size(), "another is asked for within 2.5 s of the last line");
-    assertFalse(dialled.get(0).closed, "it may be late only");
-    dialled.get(1).gives(BEGINS + chunk(5, false, "ready"));
+    assertEquals(2, dialled.size(), "another watch is opened within 2.5 s of the last line");
+    assertFalse(dialled.get(0).closed, "the line may only be late");
+    dialled.get(1).gives(RESPONSE_HEAD + chunk(change(5, "ready")));
     assertTrue(dialled.get(0).closed);
     pass(2300);
     assertEquals(2, dialled.size());
   }
 
-  /**
-   * The last line was heard at 0; the service then turns this proxy away until the clock has run
-   * out.
-   */
+  /** The last line arrives at 0; from then on the service rejects all other calls. */
   @Test
-  void behindASilentWatchNothingGoesToNodesOnceItsNewsMayCountAsTold() {
+  void nothingIsSentToNodesOnceAnUpdateMissedOnASilentWatchMayBeInEffect() {
     Discovery discovery = discovery();
-    driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, pools::closeIdle);
+    connectToEngine(discovery);
     driver.submit(engine -> {});
-    FakeConnection first = dialled.get(0);
-    first.gives(BEGINS + chunk(5, true, "ready"));
-    for (int ms = 0; ms < 5900; ms += 10) {
-      pass(10);
-      dialled.stream()
-          .filter(s -> s != first && !s.closed && s.written.toString().startsWith("GET"))
-          .toList()
-          .forEach(s -> s.gives("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n"));
-    }
+    FakeConnection silentWatch = dialled.get(0);
+    silentWatch.gives(RESPONSE_HEAD + chunk(completeList(5, "ready")));
+    passAnsweringCalls(
+        EFFECTIVE_AFTER_MS - 100, silentWatch, connection -> connection.gives(UNAVAILABLE));
     int calls = dialled.size() - 1;
-    assertTrue(calls >= 4 && calls <= 8, calls + " calls inside the clock, by one proxy");
+    assertTrue(calls >= 4 && calls <= 8, calls + " calls by one proxy before the lease expires");
     asks();
     assertEquals(1, attempts());
     pass(110);
     asks();
     asks();
-    assertEquals(1, attempts(), "a quarter of the fleet may have left");
-    first.gives("1\r\n\n\r\n");
+    assertEquals(1, attempts(), "a quarter of the fleet may be draining");
+    silentWatch.gives(EMPTY_LINE);
     asks();
-    assertEquals(1, attempts(), "a watch that was silent is broken");
+    assertEquals(1, attempts(), "a watch that was silent may have missed an update");
     discovery.watch();
-    dialled.get(dialled.size() - 1).gives(BEGINS + chunk(5, false, "ready"));
+    lastDialled().gives(RESPONSE_HEAD + chunk(change(5, "ready")));
     asks();
-    assertEquals(2, attempts(), "whole at once");
+    assertEquals(2, attempts(), "complete service at once");
   }
 
   /**
-   * Down for longer than the clock: it may have had news, and been there to tell it, before it
-   * went.
+   * The service is down for longer than the lease lasts: it may have made an update, and been able
+   * to deliver it, before it failed.
    */
   @Test
-  void howeverOftenAskedAServiceThatFailsDoesNotMakeTheListHoldForLonger() {
+  void failedCallsNeverExtendTheLease() {
     Discovery discovery = discovery();
-    driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, pools::closeIdle);
+    connectToEngine(discovery);
     driver.submit(engine -> {});
-    dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
+    dialled.get(0).gives(RESPONSE_HEAD + chunk(completeList(5, "ready")));
     asks();
     pass(1500);
     dialled.get(0).breaks();
-    for (int ms = 1500; ms < 5900; ms += 10) {
-      pass(10);
-      dialled.stream()
-          .filter(s -> !s.closed && s.written.toString().startsWith("GET"))
-          .toList()
-          .forEach(FakeConnection::breaks);
-    }
+    passAnsweringCalls(EFFECTIVE_AFTER_MS - 100 - 1500, null, FakeConnection::breaks);
     asks();
     assertEquals(2, attempts(), "until 6 s after the line");
     pass(110);
     asks();
     assertEquals(2, attempts());
     discovery.watch();
-    dialled.get(dialled.size() - 1).gives(BEGINS + chunk(5, false, "ready"));
+    lastDialled().gives(RESPONSE_HEAD + chunk(change(5, "ready")));
     asks();
-    assertEquals(3, attempts(), "whole at once");
+    assertEquals(3, attempts(), "complete service at once");
   }
 
   /**
-   * While an agent is down a call to it stays silent, and what it gets at its return counts at
-   * once.
+   * While an agent that pushes lists is down, a call to it stays silent, and what the agent
+   * receives at its return is in effect at once.
    */
   @Test
-  void anAgentThatPushesIsAskedAgainWithinTheGrace() {
+  void pushingAgentIsCalledAgainWithinTheGracePeriod() {
     Config pushed =
         Config.read(
             TestConfig.json().replace("\"ask\"", "\"push\"").getBytes(StandardCharsets.UTF_8));
-    Discovery discovery =
-        new Discovery(this::dial, timers, driver, pools, pushed, new SnapshotFile(), what -> {});
-    driver.reaches(discovery::watch, discovery::fetch, (node, success) -> {}, pools::closeIdle);
-    discovery.renewLease();
-    dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
+    Discovery discovery = discovery(pushed, RestoredSnapshots.none());
+    connectToEngine(discovery);
+    discovery.reportLease();
+    dialled.get(0).gives(RESPONSE_HEAD + chunk(completeList(5, "ready")));
     dialled.get(0).breaks();
     asks();
-    assertEquals(0, attempts(), "with no watch all that is there counts");
-    for (int asked = 1; asked < 8; asked++) {
+    assertEquals(0, attempts(), "with no watch every update may be in effect");
+    for (int calls = 1; calls < 8; calls++) {
       pass(470);
       assertTrue(
-          dialled.size() > asked && dialled.size() < 3 + 3 * asked, dialled.size() + " calls");
+          dialled.size() > calls && dialled.size() < 3 + 3 * calls, dialled.size() + " calls");
     }
-    while (dialled.get(dialled.size() - 1).closed) {
+    while (lastDialled().closed) {
       pass(10);
     }
-    dialled.get(dialled.size() - 1).gives(BEGINS + chunk(5, false, "ready"));
+    lastDialled().gives(RESPONSE_HEAD + chunk(change(5, "ready")));
     asks();
     assertEquals(1, attempts());
   }
 
-  /**
-   * Of two entries the later counts, and a node that is back gets nothing over its old connections.
-   */
   @Test
-  void aNodeNamedTwiceIsWhatIsSaidLastAndOneThatMovedIsMetAnew() {
+  void lastOfTwoEntriesOfANodeCounts() {
+    Discovery discovery = discovery();
+    apply(discovery, list(5, true, entry("ready"), entry("draining")));
+    asks();
+    assertEquals(0, attempts(), "draining by its second entry");
+  }
+
+  @Test
+  void restartedNodeGetsNoRequestOverItsOldConnections() {
     Discovery discovery = discovery();
-    String at1 = text(5, true, "ready").replace("]}", "");
-    String entry = at1.substring(at1.indexOf('[') + 1);
-    discovery.take(
-        Json.read(
-            (at1 + "," + entry.replace("ready", "draining") + "]}")
-                .getBytes(StandardCharsets.UTF_8),
-            "list"),
-        false);
+    String entryElsewhere = entry("ready").replace("127.0.0.1:1", "127.0.0.1:2");
+    apply(discovery, list(5, true, entry("ready"), entry("draining")));
     asks();
-    assertEquals(0, attempts(), "leaves by its second entry");
-    String gone = text(6, false, "gone").replace("]}", "");
-    discovery.take(
-        Json.read(
-            (gone + "," + entry.replace("127.0.0.1:1", "127.0.0.1:2") + "]}")
-                .getBytes(StandardCharsets.UTF_8),
-            "list"),
-        false);
+    assertEquals(0, attempts());
+    apply(discovery, list(6, false, entry("gone"), entryElsewhere));
     asks();
     assertEquals(1, attempts());
     FakeConnection first = dialled.get(0);
-    discovery.take(
-        Json.read(
-            text(7, false, "ready")
-                .replace("\"born_ms\":0", "\"born_ms\":1")
-                .getBytes(StandardCharsets.UTF_8),
-            "list"),
-        false);
+    String restarted = entry("ready").replace("\"born_ms\":0", "\"born_ms\":1");
+    apply(discovery, list(7, false, restarted));
     asks();
     assertEquals(2, attempts());
-    assertEquals(1, first.timesWritten, "started anew it is met over a connection of its own");
+    assertEquals(1, first.timesWritten, "the restarted node has a connection of its own");
   }
 
-  @Test
-  void whatWaitsForAConnectionToANodeThatLeavesIsTakenBack() {
-    for (String health : List.of("draining", "gone")) {
-      start();
-      List<Promise<Connection>> connecting = new ArrayList<>();
-      pools =
-          new UpstreamPools(
-              to -> {
-                connecting.add(Promise.promise());
-                return connecting.get(connecting.size() - 1).future();
-              },
-              this::dial,
-              timers,
-              CONFIG,
-              8);
-      requestHandler =
-          new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), RequestObserver.NONE);
-      Discovery discovery = discovery();
-      discovery.take(list(5, true, "ready"), false);
-      FakeConnection asked = client();
-      asked.gives(READ);
-      discovery.take(list(6, false, health), false);
-      assertTrue(
-          asked.written.toString().startsWith("SERVER_ERROR busy"), "no other node: told at once");
-      FakeConnection up = new FakeConnection();
-      connecting.get(0).complete(up);
-      assertEquals("", up.written.toString(), health);
-    }
+  @ParameterizedTest
+  @ValueSource(strings = {"draining", "gone"})
+  void attemptWaitingForAConnectionToALeavingNodeIsCancelled(String health) {
+    List<Promise<Connection>> connecting = new ArrayList<>();
+    pools =
+        new UpstreamPools(
+            to -> {
+              connecting.add(Promise.promise());
+              return connecting.get(connecting.size() - 1).future();
+            },
+            this::dial,
+            timers,
+            CONFIG,
+            8);
+    requestHandler =
+        new RequestHandler(timers, driver, pools, CONFIG.answerSlack(), RequestObserver.NONE);
+    Discovery discovery = discovery();
+    apply(discovery, completeList(5, "ready"));
+    FakeConnection client = client();
+    client.gives(READ);
+    apply(discovery, change(6, health));
+    assertTrue(
+        client.written.toString().startsWith("SERVER_ERROR busy"),
+        "with no other node the client is answered at once");
+    FakeConnection toNode = new FakeConnection();
+    connecting.get(0).complete(toNode);
+    assertEquals("", toNode.written.toString());
   }
 
   @Test
-  void aListOverManyLinesIsReadAsOne() {
+  void listOverManyLinesIsReadAsOne() {
     Discovery discovery = discovery();
     discovery.watch();
-    dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
+    dialled.get(0).gives(RESPONSE_HEAD + chunk(completeList(5, "ready")));
     String indented =
-        text(6, false, "draining")
-                .replace("{", "{\n  ")
-                .replace(",\"", ",\n  \"")
-                .replace("\"site\":\"here\"", "\"site\":\"a } \\\" {\"")
-            + "\n";
-    dialled.get(0).gives(Integer.toHexString(indented.length()) + "\r\n" + indented + "\r\n");
+        change(6, "draining")
+            .replace("{", "{\n  ")
+            .replace(",\"", ",\n  \"")
+            .replace("\"site\":\"here\"", "\"site\":\"a } \\\" {\"");
+    dialled.get(0).gives(chunk(indented));
     client().gives(READ);
     assertEquals(1, dialled.size(), "the node is draining");
     assertFalse(dialled.get(0).closed);
   }
 
   @Test
-  void aServiceThatCountsAnewBehindASilentWatchIsBelieved() {
+  void completeListOfServiceThatRestartedItsCountIsApplied() {
     Discovery discovery = discovery();
     discovery.watch();
-    dialled.get(0).gives(BEGINS + chunk(41, true, "ready"));
+    dialled.get(0).gives(RESPONSE_HEAD + chunk(completeList(41, "ready")));
     discovery.watch();
-    dialled.get(1).gives(BEGINS + chunk(2, true, "draining"));
+    dialled.get(1).gives(RESPONSE_HEAD + chunk(completeList(2, "draining")));
     client().gives(READ);
     assertEquals(2, dialled.size());
-    dialled.get(1).gives(chunk(3, false, "ready"));
+    dialled.get(1).gives(chunk(change(3, "ready")));
     client().gives(READ);
     assertEquals(3, dialled.size());
   }
 
   @Test
-  void whatTheServiceThatWasLeftSaysLaterIsOvertaken() {
+  void updateOfFormerServiceIsIgnoredOnceTheNewServiceHasAnswered() {
     Discovery discovery = discovery();
     discovery.watch();
-    dialled.get(0).gives(BEGINS + chunk(5, true, "ready"));
-    discovery.move(new Address("127.0.0.1", 7));
-    assertFalse(dialled.get(0).closed, "it goes on until the new one speaks");
-    discovery.take(list(2, true, "draining"), false);
-    dialled.get(0).gives(chunk(6, false, "ready"));
+    FakeConnection formerWatch = dialled.get(0);
+    formerWatch.gives(RESPONSE_HEAD + chunk(completeList(5, "ready")));
+    discovery.moveTo(OTHER_SERVICE);
+    assertFalse(formerWatch.closed, "it lasts until the new service delivers a list");
+    apply(discovery, completeList(2, "draining"));
+    formerWatch.gives(chunk(change(6, "ready")));
     client().gives(READ);
     assertEquals(2, dialled.size());
-    dialled.get(1).gives(BEGINS + chunk(3, true, "ready"));
-    assertTrue(dialled.get(0).closed);
+    dialled.get(1).gives(RESPONSE_HEAD + chunk(completeList(3, "ready")));
+    assertTrue(formerWatch.closed);
     client().gives(READ);
     assertEquals(3, dialled.size());
   }
 
   @Test
-  void theWatchMovesToANewAddressAndStartsFromNothing() {
+  void watchOfNewServiceStartsWithoutVersion() {
     Discovery discovery = discovery();
     discovery.watch();
-    discovery.take(list(5, true, "ready"), false);
-    discovery.move(CONFIG.discovery());
-    discovery.move(new Address("127.0.0.1", 7));
+    apply(discovery, completeList(5, "ready"));
+    discovery.moveTo(CONFIG.discovery());
+    discovery.moveTo(OTHER_SERVICE);
     assertEquals(
         List.of(
             "GET /discovery/hosts?follow=1 HTTP/1.1\r\nHost: 127.0.0.1:1\r\n\r\n",
             "GET /discovery/hosts?follow=1 HTTP/1.1\r\nHost: 127.0.0.1:7\r\n\r\n"),
-        dialled.stream().map(s -> s.written.toString()).toList());
-    assertTrue(dialled.get(0).closed, "the old one is not kept");
-    discovery.take(list(2, false, "draining"), false);
+        dialled.stream().map(connection -> connection.written.toString()).toList());
+    assertTrue(dialled.get(0).closed, "the pending watch of the former service is cancelled");
+    apply(discovery, change(2, "draining"));
     client().gives(READ);
-    assertEquals(2, dialled.size(), "versions may count otherwise there");
+    assertEquals(2, dialled.size(), "versions of two services are not compared");
   }
 }
--- a/src/test/java/pathgw/discovery/EndpointTest.java
+++ b/src/test/java/pathgw/discovery/EndpointTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import pathgw.codec.MetaCommand;
 import pathgw.config.Address;
@@ -12,27 +13,27 @@
 import pathgw.decision.EndpointState;
 import pathgw.fixture.NetworkFixture;
 
-/** Entries of the endpoint list. */
+/** Entries of the endpoint list: their ids, and how they are parsed. */
 class EndpointTest extends NetworkFixture {
   @Test
-  void nodesAndKeysHashAlikeEverywhere() throws MetaCommand.Malformed {
+  void idsAndKeysAreHashedAlikeAtEveryProxy() throws MetaCommand.Malformed {
     assertEquals(command("mg k1 v Oa Pc=read").keyHash(), command("ms k1 0 Ob Pc=write").keyHash());
     Endpoint here = new Endpoint("s-1", ANYWHERE, EndpointState.READY, 0, 0, 0, 0);
-    Endpoint there =
+    Endpoint elsewhere =
         new Endpoint("s-1", new Address("127.9.9.9", 7), EndpointState.DRAINING, 5, 1, 2, 3);
-    assertEquals(here.id(), there.id());
+    assertEquals(here.id(), elsewhere.id());
     assertNotEquals(here.id(), MetaCommand.hash("s-2"));
   }
 
   @Test
-  void entriesOfTheListAreReadByName() {
+  void entryIsParsedByFieldNames() {
     String entry =
         "{\"host\":\"s\",\"dial\":\"10.0.0.1:5\",\"site\":\"here\",\"class\":\"origin\","
             + "\"block\":3,\"health\":\"draining\",\"share\":1.0,\"born_ms\":7}";
     Json list = Json.read(("{\"hosts\":[" + entry + "]}").getBytes(StandardCharsets.UTF_8), "list");
     assertEquals(
-        new Endpoint("s", new Address("10.0.0.1", 5), EndpointState.DRAINING, 7, 1, 0, 3),
-        Endpoint.read(list, "hosts.0", CONFIG));
+        List.of(new Endpoint("s", new Address("10.0.0.1", 5), EndpointState.DRAINING, 7, 1, 0, 3)),
+        new EndpointParser(CONFIG).parse(list));
     assertEquals(Duration.ofSeconds(-999), timers.since(1000));
   }
 }
--- a/src/test/java/pathgw/driver/DecisionDriverTest.java
+++ b/src/test/java/pathgw/driver/DecisionDriverTest.java
@@ -7,10 +7,10 @@
 import org.junit.jupiter.api.Test;
 import pathgw.fixture.NetworkFixture;
 
-/** The order in which the decision module gets its inputs. */
+/** The order in which the decision engine gets its inputs. */
 class DecisionDriverTest extends NetworkFixture {
   @Test
-  void anInputThatADecisionBringsWaitsForItsTurn() {
+  void inputSubmittedByAnotherInputIsProcessedAfterIt() {
     List<String> order = new ArrayList<>();
     driver.submit(
         engine -> {
--- a/src/test/java/pathgw/request/RequestHandlerTest.java
+++ b/src/test/java/pathgw/request/RequestHandlerTest.java
@@ -16,6 +16,7 @@
 import pathgw.decision.DecisionEngine;
 import pathgw.driver.DecisionDriver;
 import pathgw.fixture.NetworkFixture;
+import pathgw.fixture.TestProxyActions;
 import pathgw.observability.RequestObserver;
 import pathgw.transport.Connection;
 import pathgw.transport.FakeConnection;
@@ -112,7 +113,7 @@
                 .replace("\"cancel\": true", "\"cancel\": false")
                 .getBytes(StandardCharsets.UTF_8));
     driver = new DecisionDriver(timers, new DecisionEngine(uncancelled.settings(), 1));
-    driver.reaches(() -> {}, () -> {}, (node, success) -> {}, pools::closeIdle);
+    driver.setProxyActions(new TestProxyActions(pools));
     Promise<Connection> connecting = Promise.promise();
     pools = new UpstreamPools(to -> connecting.future(), this::dial, timers, CONFIG, 8);
     requestHandler =
--- a/src/test/java/pathgw/server/DecisionCostBenchmark.java
+++ b/src/test/java/pathgw/server/DecisionCostBenchmark.java
@@ -16,9 +16,10 @@
 import pathgw.decision.AttemptOutcome;
 import pathgw.decision.DecisionEngine;
 import pathgw.discovery.Discovery;
-import pathgw.discovery.EndpointListCall;
+import pathgw.discovery.EndpointListSource;
 import pathgw.driver.DecisionDriver;
-import pathgw.snapshot.SnapshotFile;
+import pathgw.fixture.TestProxyActions;
+import pathgw.snapshot.RestoredSnapshots;
 import pathgw.transport.EventLoopTimers;
 import pathgw.upstream.UpstreamPools;
 
@@ -65,14 +66,14 @@
 
   private static Discovery discovery(
       EventLoopTimers timers, DecisionDriver driver, UpstreamPools pools) {
-    driver.reaches(() -> {}, () -> {}, (node, success) -> {}, pools::closeIdle);
+    driver.setProxyActions(new TestProxyActions(pools));
     return new Discovery(
         to -> Future.failedFuture("none"),
         timers,
         driver,
         pools,
         CONFIG,
-        new SnapshotFile(),
+        RestoredSnapshots.none(),
         what -> {});
   }
 
@@ -90,10 +91,9 @@
     for (int time = 1; time <= LISTS; time++) {
       long began = System.nanoTime();
       List<Buffer> whole = new ArrayList<>();
-      JsonObjectReader lines =
-          new JsonObjectReader(EndpointListCall.LONGEST_BODY, whole::add, () -> {});
+      JsonObjectReader lines = new JsonObjectReader(Discovery.MAX_LIST_BYTES, whole::add, () -> {});
       text.lines().forEach(line -> lines.take(Buffer.buffer(line)));
-      discovery.take(Json.read(whole.get(0).getBytes(), "list"), false);
+      discovery.apply(Json.read(whole.get(0).getBytes(), "list"), EndpointListSource.POLL);
       if (time == 1 || time == LISTS) {
         System.out.printf(
             Locale.ROOT,
@@ -119,7 +119,7 @@
             CONFIG,
             100);
     discovery(timers, driver, pools)
-        .take(Json.read(text.getBytes(StandardCharsets.UTF_8), "list"), false);
+        .apply(Json.read(text.getBytes(StandardCharsets.UTF_8), "list"), EndpointListSource.POLL);
     long began = System.nanoTime();
     for (int i = 0; i < REQUESTS; i++) {
       now[0] += 20_000_000;
--- a/src/test/java/pathgw/server/FleetSizeTest.java
+++ b/src/test/java/pathgw/server/FleetSizeTest.java
@@ -18,12 +18,14 @@
 import pathgw.config.TestConfig;
 import pathgw.decision.DecisionEngine;
 import pathgw.discovery.Discovery;
+import pathgw.discovery.EndpointListSource;
 import pathgw.driver.DecisionDriver;
+import pathgw.fixture.TestProxyActions;
 import pathgw.gossip.Gossip;
 import pathgw.observability.RateLimitedLog;
 import pathgw.observability.RequestObserver;
 import pathgw.request.RequestHandler;
-import pathgw.snapshot.SnapshotFile;
+import pathgw.snapshot.RestoredSnapshots;
 import pathgw.transport.Connection;
 import pathgw.transport.EventLoopTimers;
 import pathgw.transport.FakeConnection;
@@ -98,10 +100,17 @@
     DecisionDriver driver = new DecisionDriver(timers, new DecisionEngine(config.settings(), 1));
     UpstreamPools pools = new UpstreamPools(this::dial, this::dial, timers, config, 400);
     Discovery discovery =
-        new Discovery(this::dial, timers, driver, pools, config, new SnapshotFile(), what -> {});
-    Gossip others = new Gossip(transport, driver, config);
-    driver.reaches(discovery::watch, discovery::fetch, others::tell, pools::closeIdle);
-    discovery.take(config.known().get(), true);
+        new Discovery(
+            this::dial, timers, driver, pools, config, RestoredSnapshots.none(), what -> {});
+    Gossip gossip = new Gossip(transport, driver, config);
+    driver.setProxyActions(
+        new TestProxyActions(pools, discovery) {
+          @Override
+          public void gossip(long node, boolean success) {
+            gossip.broadcast(node, success);
+          }
+        });
+    discovery.apply(config.known().get(), EndpointListSource.CONFIGURATION);
     assertEquals(MANY, pools.startTimes().size());
 
     String whole = list(2, "ready");
