--- a/src/main/java/pathgw/simulation/ScenarioRun.java
+++ b/src/main/java/pathgw/simulation/ScenarioRun.java
@@ -28,9 +28,13 @@
 import pathgw.fake.RequestReader;
 import pathgw.server.ProxyServer;
 import pathgw.simulation.Fault.Kind;
+import pathgw.simulation.invariant.InvariantChecker;
+import pathgw.simulation.invariant.InvariantLimits;
+import pathgw.simulation.invariant.SimulatedWorld;
+import pathgw.simulation.invariant.Trace;
 
 /** Plays one script from its start to its end, or to the first rule that is broken. */
-final class ScenarioRun implements InvariantChecker.World {
+final class ScenarioRun implements SimulatedWorld {
   static final Duration COLD_FOR = Duration.ofSeconds(4);
   private static final double COLD_FROM = 0.3;
   private static final Duration FALL_FOR = Duration.ofSeconds(2);
@@ -142,10 +146,10 @@
             events, chance("net"), (process, bytes) -> trace.mix(events.now(), bytes.hashCode()));
     checker =
         new InvariantChecker(
-            events,
+            events::now,
             trace,
             this,
-            new InvariantChecker.Figures(
+            new InvariantLimits(
                 SLACK_MS * 1_000_000,
                 GRACE_MS * 1_000_000,
                 MAX_ATTEMPTS,
@@ -268,35 +272,38 @@
     clientsProcess.in(ms(300), clients::start);
     scenario.faults().forEach(f -> events.at(f.atMs() * 1_000_000, null, () -> strike(f)));
     events.at(
-        Math.max(0, scenario.lastsMs() - SERVICE_OVER_MS) * 1_000_000, null, checker::countFromNow);
+        Math.max(0, scenario.lastsMs() - SERVICE_OVER_MS) * 1_000_000,
+        null,
+        checker::startMeasuringService);
     events.at(scenario.lastsMs() * 1_000_000, null, clients::stop);
     long end = (scenario.lastsMs() + SETTLES_MS) * 1_000_000;
     long steps = 0;
-    while (checker.breach() == null && events.step(end)) {
+    while (checker.firstViolation() == null && events.step(end)) {
       steps++;
       VirtualProcess last = events.last();
       if (last != null && last.name.startsWith("p")) {
         Gate g = gates.get(Integer.parseInt(last.name.substring(1)));
         if (g.serves && !last.dead()) {
-          checker.bounds(g.number, g.proxy.held());
+          checker.checkBounds(g.number, g.proxy.held());
         }
       }
     }
-    if (checker.breach() == null) {
+    if (checker.firstViolation() == null) {
       gates.stream()
           .filter(g -> g.serves && !g.process.dead())
-          .forEach(g -> checker.empty(g.number, g.proxy.held()));
-      checker.cameBack(room(), events.now() / 1_000_000 - SETTLES_MS - scenario.calmFromMs());
+          .forEach(g -> checker.checkNothingHeld(g.number, g.proxy.held()));
+      checker.checkServiceRecovered(
+          room(), events.now() / 1_000_000 - SETTLES_MS - scenario.calmFromMs());
     }
     Map<String, Long> counts = new LinkedHashMap<>(checker.counts());
     faults.forEach((kind, count) -> counts.put("fault " + kind, count));
     return new RunResult(
         scenario,
-        checker.breach(),
+        checker.firstViolation(),
         trace.digest(),
         steps,
         events.now() / 1_000_000,
-        checker.service(),
+        checker.serviceRate(),
         counts);
   }
 
@@ -361,7 +368,7 @@
   /** Reads along on what a proxy sends to a node or the origin. */
   private void tap(int proxy, VirtualConnection connection) {
     String place = connection.ownerThere().name;
-    checker.opened(place);
+    checker.connectionOpened(place);
     boolean http = place.equals("origin");
     if (!http && !place.startsWith("n")) {
       return;
@@ -369,7 +376,7 @@
     long[] first = {-1};
     Consumer<Request> whole =
         request -> {
-          checker.handedOff(proxy, place, request, first[0]);
+          checker.attemptSent(proxy, place, request, first[0]);
           first[0] = -1;
         };
     RequestReader scan =
@@ -509,7 +516,7 @@
     long from = Math.max(since, Math.max(listDownUntil, g.bornAt));
     long left = from + TOLD_WITHIN.toNanos() - events.now();
     if (left <= 0) {
-      checker.countsAsTold(g.number, e.host(), e.health(), version);
+      checker.assumeNotified(g.number, e.host(), e.health(), version);
     } else if (listDownUntil < Long.MAX_VALUE / 2) {
       events.in(left, null, () -> countsAsTold(g, e, version, since));
     }
@@ -530,13 +537,13 @@
   // Proxies.
 
   private void begin(Gate g) {
-    g.process = new VirtualProcess("p" + g.number, events, e -> checker.fault(g.number, e));
+    g.process = new VirtualProcess("p" + g.number, events, e -> checker.handlerFailed(g.number, e));
     g.bornAt = events.now();
     g.serves = false;
     g.leaving = false;
     VirtualProcess own = g.process;
     Config config = Config.read(mutation.config(config(g)).getBytes(StandardCharsets.UTF_8));
-    checker.begins(g.number, g.knownHealth, g.knownVersion);
+    checker.proxyStarted(g.number, g.knownHealth, g.knownVersion);
     SimulatedTransport transport =
         new SimulatedTransport(
             events,
@@ -550,7 +557,7 @@
             mutation.transport(transport, g.number),
             config,
             scenario.warmUp(),
-            checker.observer(g.number));
+            checker.requestObserver(g.number));
     net.soon(
         own,
         () ->
@@ -562,7 +569,7 @@
                       clients.serves(g.number);
                       trace.say(events.now(), () -> "p" + g.number + " serves");
                     },
-                    e -> checker.broken(5, "start", "p" + g.number + " does not start: " + e)));
+                    e -> checker.proxyStartFailed(g.number, e)));
   }
 
   private void kill(Gate g) {
@@ -579,8 +586,7 @@
         null,
         () -> {
           if (g.process == own && !own.dead() && own.stoodUntil() < events.now() - 3_000_000_000L) {
-            checker.broken(
-                1, "stop", "p" + g.number + " has not stopped in " + STOP_WITHIN_MS + " ms");
+            checker.proxyStopTimedOut(g.number, STOP_WITHIN_MS);
           }
         });
     net.soon(
@@ -673,17 +679,17 @@
   }
 
   @Override
-  public long bornAt(int proxy) {
+  public long startedAtNanos(int proxy) {
     return gates.get(proxy).bornAt;
   }
 
   @Override
-  public long stoodUntil(int proxy) {
+  public long stalledUntilNanos(int proxy) {
     return gates.get(proxy).process.stoodUntil();
   }
 
   @Override
-  public boolean dead(int proxy) {
+  public boolean isDead(int proxy) {
     return gates.get(proxy).process.dead();
   }
 
@@ -695,12 +701,12 @@
   }
 
   @Override
-  public boolean cold(String place) {
+  public boolean isWarmingUp(String place) {
     return place.startsWith("n") && nodes.get(Integer.parseInt(place.substring(1))).node.cold();
   }
 
   @Override
-  public int cell(String place) {
+  public int failureDomain(String place) {
     return place.startsWith("n") ? Integer.parseInt(place.substring(1)) % CELLS : 0;
   }
 
@@ -846,7 +852,7 @@
         && !g.process.dead()
         && g.bornAt < since.toNanos()
         && since.plus(TOLD_WITHIN).toNanos() <= events.now()) {
-      checker.countsAsTold(g.number, e.host(), e.health(), list.seq());
+      checker.assumeNotified(g.number, e.host(), e.health(), list.seq());
     }
   }
 
--- a/src/main/java/pathgw/simulation/ScenarioShrinker.java
+++ b/src/main/java/pathgw/simulation/ScenarioShrinker.java
@@ -3,19 +3,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
+import pathgw.simulation.invariant.Violation;
 
 /** Makes a script that breaks a rule as small as it stays while it breaks the rule alike. */
 final class ScenarioShrinker {
   private static final int MOST_PLAYS = 400;
 
   private final Function<Scenario, RunResult> play;
-  private final Violation breach;
+  private final Violation violation;
   private Scenario best;
   private int plays;
 
   private ScenarioShrinker(Function<Scenario, RunResult> play, RunResult failed) {
     this.play = play;
-    breach = failed.breach();
+    violation = failed.violation();
     best = failed.scenario();
   }
 
@@ -39,7 +40,7 @@
     if (smaller.equals(best) || plays++ >= MOST_PLAYS) {
       return false;
     }
-    if (breach.like(play.apply(smaller).breach())) {
+    if (violation.isSameKindAs(play.apply(smaller).violation())) {
       best = smaller;
       return true;
     }
@@ -50,7 +51,7 @@
   private void time(RunResult failed) {
     for (long lasts :
         new long[] {
-          best.lastsMs() / 4, best.lastsMs() / 2, failed.breach().atNanos() / 1_000_000 + 1000
+          best.lastsMs() / 4, best.lastsMs() / 2, failed.violation().atNanos() / 1_000_000 + 1000
         }) {
       long ends = Math.max(500, lasts);
       if (ends < best.lastsMs()) {
--- a/src/main/java/pathgw/simulation/SeedRange.java
+++ b/src/main/java/pathgw/simulation/SeedRange.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import pathgw.simulation.invariant.RunCounters;
 
 /**
  * Plays many seeds, each wholly on one thread; what comes out is the same however many threads
@@ -93,12 +94,8 @@
         virtualMs += o.virtualMs();
         steps += o.steps();
         count++;
-        o.counts()
-            .forEach(
-                (what, n) ->
-                    counts.merge(
-                        what, n, what.contains(InvariantChecker.MOST) ? Math::max : Long::sum));
-        if (o.breach() != null) {
+        RunCounters.mergeInto(counts, o.counts());
+        if (o.violation() != null) {
           failed.add(o);
         } else {
           service.add(o.service());
@@ -113,7 +110,7 @@
                 () ->
                     new Failure(
                         o.scenario().seed(),
-                        o.breach().toString(),
+                        o.violation().toString(),
                         o.scenario().toString(),
                         small
                             ? ScenarioShrinker.shrink(s -> ScenarioRun.play(s, mutation, null), o)
@@ -135,7 +132,7 @@
   /** One run, with each line of what happened. @return the breach in words, or null */
   public static String trace(String scenario, Consumer<String> out) {
     RunResult o = ScenarioRun.play(Scenario.read(scenario), Mutation.NONE, out);
-    return o.breach() == null ? null : o.breach().toString();
+    return o.violation() == null ? null : o.violation().toString();
   }
 
   /** The script that a seed draws. */
--- /dev/null
+++ b/src/main/java/pathgw/simulation/invariant/EffectInvariants.java
@@ -0,0 +1,89 @@
+package pathgw.simulation.invariant;
+
+import static pathgw.simulation.invariant.RunContext.NANOS_PER_MILLI;
+
+import pathgw.fake.FakeClients.Effect;
+import pathgw.fake.Request;
+import pathgw.simulation.invariant.RequestRecord.AttemptRecord;
+
+/**
+ * Rule 2: no request takes effect more often than its class allows.
+ *
+ * <p>What a proxy can know counts, not what is true: an attempt whose last byte was written may
+ * have run, unless its target said that it did not.
+ */
+final class EffectInvariants {
+  private static final int RULE = 2;
+
+  private final RunContext run;
+
+  EffectInvariants(RunContext run) {
+    this.run = run;
+  }
+
+  /** Checks an attempt against all earlier ones of its request that may have run. */
+  void attemptSent(RequestRecord request, String target, long startedAtNanos) {
+    Effect effect = request.clientAttempt.requestClass().effect();
+    for (AttemptRecord earlier : request.attempts) {
+      if (!earlier.neverRan && !mayRetry(effect, earlier, target, startedAtNanos)) {
+        long sinceMs = (startedAtNanos - earlier.sentAtNanos) / NANOS_PER_MILLI;
+        run.violations.report(
+            RULE,
+            "resend",
+            String.format(
+                "%s, %s, is forwarded to %s though %s may have run it %d ms before",
+                request.id(), effect, target, earlier.target, sinceMs));
+      }
+    }
+  }
+
+  private boolean mayRetry(
+      Effect effect, AttemptRecord earlier, String target, long startedAtNanos) {
+    return switch (effect) {
+      case IDEMPOTENT -> true;
+      case AT_MOST_ONCE -> false;
+      case IDEMPOTENCY_KEYED ->
+          startedAtNanos <= earlier.sentAtNanos + run.limits.dedupWindowNanos()
+              && sharesDedupMemory(earlier.target, target);
+    };
+  }
+
+  private boolean sharesDedupMemory(String target, String other) {
+    return switch (run.limits.dedupScope()) {
+      case "all" -> true;
+      case "zone" -> run.world.zone(target) == run.world.zone(other);
+      default -> run.world.failureDomain(target) == run.world.failureDomain(other);
+    };
+  }
+
+  /** A target has taken on a request. */
+  void ran(String target, Request command, boolean deduplicated) {
+    RequestRecord request = run.request(command.id());
+    if (request == null || !command.write() || deduplicated) {
+      return;
+    }
+    request.appliedWrites++;
+    if (request.appliedWrites == 1) {
+      return;
+    }
+    // A node that stalled may run what it had received after the key of a permitted retry was
+    // forgotten. No proxy can know that, so it is counted and allowed.
+    if (request.clientAttempt.requestClass().effect() == Effect.IDEMPOTENCY_KEYED) {
+      run.counters.count("idempotency-keyed request ran twice, each attempt permitted");
+    } else {
+      run.violations.report(RULE, "twice", request.id() + " took effect again at " + target);
+    }
+  }
+
+  /** Checks a rejection: it tells the client that the request did not run. */
+  void rejected(RequestRecord request) {
+    Effect effect = request.clientAttempt.requestClass().effect();
+    boolean retryIsSafe =
+        effect == Effect.IDEMPOTENT
+            || (effect == Effect.IDEMPOTENCY_KEYED && run.limits.dedupScope().equals("all"));
+    if (!retryIsSafe && request.mayHaveRun()) {
+      run.violations.report(
+          RULE, "denied", request.id() + ", " + effect + ", is rejected though it may have run");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/invariant/RequestInvariants.java
@@ -0,0 +1,207 @@
+package pathgw.simulation.invariant;
+
+import static pathgw.simulation.invariant.RunContext.NANOS_PER_MILLI;
+import static pathgw.simulation.invariant.RunContext.SOCKET_ALLOWANCE_NANOS;
+import static pathgw.simulation.invariant.RunContext.TRANSIT_NANOS;
+
+import java.time.Duration;
+import pathgw.fake.Request;
+
+/**
+ * Rule 1: each request gets exactly one response, its own and in time, and no work is begun for a
+ * request that has ended.
+ */
+final class RequestInvariants {
+  private static final int RULE = 1;
+
+  /** No attempt starts later than this after its client has left, whatever stalled the proxy. */
+  private static final long CLIENT_LEFT_ALLOWANCE_NANOS = 100_000_000;
+
+  /** How much more than the time left to its client an attempt may announce to its target. */
+  private static final long ANNOUNCED_TIME_ALLOWANCE_NANOS = 150_000_000;
+
+  /** A client that sends an invalid command gets an error line or the end within this. */
+  private static final long INVALID_CLIENT_LIMIT_NANOS = 3_000_000_000L;
+
+  /** Stands for the time a client waited that got neither. */
+  private static final long LEFT_ALONE_NANOS = 3_600_000_000L;
+
+  private static final char REMAINING_MILLIS_LABEL = 'd';
+
+  private final RunContext run;
+
+  RequestInvariants(RunContext run) {
+    this.run = run;
+  }
+
+  private void violated(String kind, String text) {
+    run.violations.report(RULE, kind, text);
+  }
+
+  /** Checks an attempt whose first byte was written at {@code startedAtNanos}. */
+  void attemptSent(
+      int proxy, RequestRecord request, String target, Request command, long startedAtNanos) {
+    checkNotEnded(proxy, request, target, startedAtNanos);
+    checkDeadline(request, target, startedAtNanos);
+    checkAnnouncedTime(request, target, command, startedAtNanos);
+    if (request.attempts.size() >= run.limits.maxAttempts()) {
+      violated("many", request.id() + " has more than " + run.limits.maxAttempts() + " attempts");
+    }
+  }
+
+  private void checkNotEnded(int proxy, RequestRecord request, String target, long startedAtNanos) {
+    boolean afterEnd = startedAtNanos > request.endedAtNanos + TRANSIT_NANOS;
+    if (afterEnd && run.world.stalledUntilNanos(proxy) < request.endedAtNanos) {
+      violated("after", request.id() + " is forwarded to " + target + " after it was answered");
+    }
+    long leftAllowance = CLIENT_LEFT_ALLOWANCE_NANOS + 2 * TRANSIT_NANOS;
+    if (request.clientLeft && startedAtNanos > request.endedAtNanos + leftAllowance) {
+      long sinceMs = (startedAtNanos - request.endedAtNanos) / NANOS_PER_MILLI;
+      violated(
+          "gone",
+          String.format(
+              "%s is forwarded to %s %d ms after its client left", request.id(), target, sinceMs));
+    }
+  }
+
+  private void checkDeadline(RequestRecord request, String target, long startedAtNanos) {
+    long latest =
+        request.deadlineNanos() + run.limits.responseSlackNanos() + SOCKET_ALLOWANCE_NANOS;
+    if (startedAtNanos > latest) {
+      violated(
+          "late-hand-off", request.id() + " is forwarded to " + target + " after its deadline");
+    }
+  }
+
+  /** The time that the attempt's labels announce must be what is left to the client. */
+  private void checkAnnouncedTime(
+      RequestRecord request, String target, Request command, long startedAtNanos) {
+    String announcedMs = command.label(REMAINING_MILLIS_LABEL);
+    if (announcedMs.isEmpty()) {
+      return;
+    }
+    long remaining = request.deadlineNanos() - startedAtNanos;
+    if (Long.parseLong(announcedMs) * NANOS_PER_MILLI
+        > remaining + ANNOUNCED_TIME_ALLOWANCE_NANOS) {
+      violated(
+          "time-told",
+          String.format(
+              "%s announces %s ms to %s though its client waits %d ms more",
+              request.id(), announcedMs, target, remaining / NANOS_PER_MILLI));
+    }
+  }
+
+  /** A client got a response that belongs to none of its requests. */
+  void unexpectedResponse(int proxy, String response) {
+    violated("two-answers", "p" + proxy + " sends a response that nobody asked for: " + response);
+  }
+
+  /** Checks when a response came. */
+  void responded(int proxy, RequestRecord request) {
+    long now = run.nowNanos();
+    long lateNanos =
+        now
+            - request.deadlineNanos()
+            - run.limits.responseSlackNanos()
+            - SOCKET_ALLOWANCE_NANOS
+            - TRANSIT_NANOS;
+    long excusedUntil = run.world.stalledUntilNanos(proxy) + TRANSIT_NANOS + SOCKET_ALLOWANCE_NANOS;
+    if (lateNanos > 0 && now > excusedUntil) {
+      violated(
+          "late", request.id() + " is answered " + lateNanos / NANOS_PER_MILLI + " ms too late");
+    }
+  }
+
+  /** Checks that a value or a receipt was made for this very request. */
+  void served(RequestRecord request, ClientResponse response) {
+    boolean repeatsId = response.line().contains(" O" + request.id());
+    if (!repeatsId || !request.madeResponses.contains(response.payload())) {
+      violated(
+          "another's", request.id() + " is served what was not made for it: " + response.line());
+    }
+  }
+
+  /** Checks a response that serves nothing. */
+  void notServed(int proxy, RequestRecord request, ClientResponse response) {
+    if (response.isClientError()) {
+      violated("refused", request.id() + ", a valid command, is answered " + response.line());
+    }
+    if (!request.isDecided()) {
+      return;
+    }
+    long now = run.nowNanos();
+    long decidedAt = request.decidedAtNanos();
+    if (now > Math.max(decidedAt, run.world.stalledUntilNanos(proxy)) + TRANSIT_NANOS) {
+      violated(
+          "held-back",
+          String.format(
+              "%s was decided %d ms before its client was told",
+              request.id(), (now - decidedAt) / NANOS_PER_MILLI));
+    }
+  }
+
+  /**
+   * A connection ended before the response was complete.
+   *
+   * @param commandRead whether the proxy had read the command, as far as that can be known
+   */
+  void connectionLost(int proxy, RequestRecord request, boolean commandRead) {
+    long sentAt = request.clientAttempt.at().toNanos();
+    boolean proxyDied = run.world.isDead(proxy) || run.world.startedAtNanos(proxy) > sentAt;
+    // A close that crosses a command loses nothing; one long after the command had arrived does.
+    boolean crossed = !commandRead && run.nowNanos() - sentAt < TRANSIT_NANOS;
+    boolean unserved = request.attempts.isEmpty() && request.clientAttempt.firstOnConnection();
+    run.counters.count(lossName(proxyDied, crossed, unserved));
+    if (!crossed && !proxyDied && !unserved) {
+      violated(
+          "lost",
+          "p" + proxy + " took " + request.id() + " and ended the connection without a response");
+    }
+  }
+
+  private static String lossName(boolean proxyDied, boolean crossed, boolean unserved) {
+    if (proxyDied) {
+      return "connection lost with its proxy";
+    }
+    if (crossed) {
+      return "connection closed as the command came";
+    }
+    return unserved ? "connection closed unserved" : "request lost";
+  }
+
+  /** A client gave up long after the deadline of its request. */
+  void neverAnswered(int proxy, RequestRecord request) {
+    long sentAt = request.clientAttempt.at().toNanos();
+    boolean proxyDied = run.world.isDead(proxy) || run.world.startedAtNanos(proxy) > sentAt;
+    boolean stalled = run.world.stalledUntilNanos(proxy) + TRANSIT_NANOS > request.deadlineNanos();
+    if (!proxyDied && !stalled) {
+      violated("no-answer", "p" + proxy + " never answers " + request.id());
+    }
+  }
+
+  /**
+   * A client that sent an invalid command has ended.
+   *
+   * @param waited until an error line or the end came; null if neither did
+   */
+  void invalidClientEnded(int proxy, String behavior, Duration waited, String response) {
+    if (ClientResponse.of(response).isServed()) {
+      violated(
+          "served-rude", "p" + proxy + " serves an invalid command, " + behavior + ": " + response);
+    }
+    long began = run.nowNanos() - (waited == null ? LEFT_ALONE_NANOS : waited.toNanos());
+    boolean excused =
+        run.world.isDead(proxy)
+            || run.world.startedAtNanos(proxy) > began
+            || run.world.stalledUntilNanos(proxy) > began;
+    boolean tooLong = waited == null || waited.toNanos() > INVALID_CLIENT_LIMIT_NANOS;
+    if (!excused && tooLong) {
+      violated("rude-alone", "p" + proxy + " leaves an invalid client waiting, " + behavior);
+    }
+  }
+
+  /** A proxy has not ended its graceful shutdown within the limit. */
+  void stopTimedOut(int proxy, long limitMs) {
+    violated("stop", "p" + proxy + " has not stopped in " + limitMs + " ms");
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/invariant/RequestRecord.java
@@ -0,0 +1,83 @@
+package pathgw.simulation.invariant;
+
+import java.util.ArrayList;
+import java.util.List;
+import pathgw.fake.ClientAttempt;
+
+/** Everything that is known of one request, from its arrival at a proxy to its end. */
+final class RequestRecord {
+  /** One attempt that a proxy wrote completely to a cache node or the origin. */
+  static final class AttemptRecord {
+    final String target;
+    final long sentAtNanos;
+
+    /** The target said that it did not run this attempt. */
+    boolean neverRan;
+
+    AttemptRecord(String target, long sentAtNanos) {
+      this.target = target;
+      this.sentAtNanos = sentAtNanos;
+    }
+  }
+
+  /** Far in the future, yet spans can be added to it without overflow. */
+  private static final long NOT_ENDED = Long.MAX_VALUE / 2;
+
+  private static final long NOT_DECIDED = -1;
+
+  final ClientAttempt clientAttempt;
+  final List<AttemptRecord> attempts = new ArrayList<>(2);
+
+  /** Values and receipts that were made for this request and may be served for it. */
+  final List<String> madeResponses = new ArrayList<>(2);
+
+  /** When the client had its response, left, or lost its connection. */
+  long endedAtNanos = NOT_ENDED;
+
+  int appliedWrites;
+  boolean missedAtColdNode;
+  boolean clientLeft;
+  private long decidedAtNanos = NOT_DECIDED;
+
+  RequestRecord(ClientAttempt clientAttempt) {
+    this.clientAttempt = clientAttempt;
+  }
+
+  String id() {
+    return clientAttempt.id();
+  }
+
+  long deadlineNanos() {
+    return clientAttempt.due().toNanos();
+  }
+
+  /** The proxy has decided to reject or fail the request; only the first decision counts. */
+  void decided(long atNanos) {
+    if (!isDecided()) {
+      decidedAtNanos = atNanos;
+    }
+  }
+
+  boolean isDecided() {
+    return decidedAtNanos >= 0;
+  }
+
+  long decidedAtNanos() {
+    return decidedAtNanos;
+  }
+
+  /** The target has refused an attempt unseen, or found nothing: the oldest one still open. */
+  void markNeverRan(String target) {
+    for (AttemptRecord attempt : attempts) {
+      if (attempt.target.equals(target) && !attempt.neverRan) {
+        attempt.neverRan = true;
+        return;
+      }
+    }
+  }
+
+  /** Whether a target may have run the request, as far as a proxy can know. */
+  boolean mayHaveRun() {
+    return attempts.stream().anyMatch(attempt -> !attempt.neverRan);
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/invariant/ResourceInvariants.java
@@ -0,0 +1,81 @@
+package pathgw.simulation.invariant;
+
+import java.util.Locale;
+import pathgw.server.ProxyServer;
+
+/**
+ * Rule 5, what the project requires besides: bounded resources, none leaked, no uncaught exception,
+ * proxies that start, and service that recovers after faults.
+ */
+final class ResourceInvariants {
+  private static final int RULE = 5;
+
+  /** Descriptors for files, the selector, discovery, gossip and the listener. */
+  private static final int OTHER_DESCRIPTORS = 40;
+
+  private static final int MAX_REQUESTS_PER_CLIENT = 16;
+
+  /** Service has recovered by then, as measured over the last three seconds. */
+  private static final long RECOVERY_MS = 9000;
+
+  /** With less spare capacity than this, service need not recover. */
+  private static final double CAPACITY_TO_RECOVER = 2;
+
+  private static final double RECOVERED_SERVICE_RATE = 0.8;
+  private static final double MILLIS_PER_SECOND = 1000.0;
+
+  private final RunContext run;
+
+  ResourceInvariants(RunContext run) {
+    this.run = run;
+  }
+
+  /** Checks the bounds of a proxy after each of its steps. */
+  void checkBounds(int proxy, ProxyServer.Held held) {
+    if (held.clients() > held.mostClients()
+        || held.toNodes() > held.mostToNodes()
+        || held.requests() > held.mostClients() * MAX_REQUESTS_PER_CLIENT) {
+      run.violations.report(RULE, "bounds", "p" + proxy + " holds " + held);
+    }
+    int descriptors = held.clients() + held.toNodes() + OTHER_DESCRIPTORS;
+    if (descriptors > run.limits.maxDescriptors()) {
+      run.violations.report(
+          RULE,
+          "descriptors",
+          "p" + proxy + " holds " + held + " with " + run.limits.maxDescriptors() + " descriptors");
+    }
+  }
+
+  /** Checks at the end of a run, when no client is left, that a proxy holds nothing. */
+  void checkNothingHeld(int proxy, ProxyServer.Held held) {
+    if (held.requests() > 0 || held.clients() > 0 || held.toNodes() > 0) {
+      run.violations.report(RULE, "leak", "p" + proxy + " still holds " + held);
+    }
+  }
+
+  /** See {@link InvariantChecker#checkServiceRecovered}. */
+  void checkServiceRecovered(double capacityFactor, long calmMs, double serviceRate) {
+    if (capacityFactor >= CAPACITY_TO_RECOVER
+        && calmMs >= RECOVERY_MS
+        && serviceRate < RECOVERED_SERVICE_RATE) {
+      run.violations.report(
+          RULE,
+          "service",
+          String.format(
+              Locale.ROOT,
+              "%.2f of the first attempts are served %.1f s after the last fault",
+              serviceRate,
+              calmMs / MILLIS_PER_SECOND));
+    }
+  }
+
+  void handlerFailed(int proxy, RuntimeException error) {
+    StackTraceElement[] stack = error.getStackTrace();
+    String location = stack.length > 0 ? " at " + stack[0] : "";
+    run.violations.report(RULE, "fault", "p" + proxy + ": " + error + location);
+  }
+
+  void startFailed(int proxy, Throwable error) {
+    run.violations.report(RULE, "start", "p" + proxy + " does not start: " + error);
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/invariant/ServiceRate.java
@@ -0,0 +1,31 @@
+package pathgw.simulation.invariant;
+
+import pathgw.fake.ClientAttempt;
+
+/** The share of the clients' first attempts that were served, from one moment of the run on. */
+final class ServiceRate {
+  private long measuredFromNanos = Long.MAX_VALUE;
+  private long started;
+  private long served;
+
+  void startMeasuring(long nowNanos) {
+    measuredFromNanos = nowNanos;
+  }
+
+  void requestStarted(ClientAttempt attempt, long nowNanos) {
+    if (attempt.tries() == 0 && nowNanos >= measuredFromNanos) {
+      started++;
+    }
+  }
+
+  void requestServed(ClientAttempt attempt) {
+    if (attempt.tries() == 0 && attempt.at().toNanos() >= measuredFromNanos) {
+      served++;
+    }
+  }
+
+  /** Between 0 and 1; 1 if no request was started. */
+  double rate() {
+    return started == 0 ? 1 : (double) served / started;
+  }
+}
--- a/src/test/java/pathgw/simulation/SeededBugTest.java
+++ b/src/test/java/pathgw/simulation/SeededBugTest.java
@@ -69,23 +69,24 @@
     long seed = from;
     while (failed == null && seed < MOST_SEEDS) {
       RunResult o = ScenarioRun.play(draw.apply(seed++), mutation, null);
-      failed = o.breach() == null ? null : o;
+      failed = o.violation() == null ? null : o;
     }
     assertNotNull(failed, "not found in " + MOST_SEEDS + " seeds");
     assertEquals(
         rule + " " + kind,
-        failed.breach().rule() + " " + failed.breach().kind(),
-        failed.breach().toString());
+        failed.violation().rule() + " " + failed.violation().kind(),
+        failed.violation().toString());
     String shrunk =
         ScenarioShrinker.shrink(s -> ScenarioRun.play(s, mutation, null), failed).toString();
     System.out.println(
         "planted " + kind + ": seed " + (seed - 1) + ", " + shrunk.lines().count() + " lines");
     assertTrue(shrunk.lines().count() <= MOST_LINES, shrunk);
     RunResult again = ScenarioRun.play(Scenario.read(shrunk), mutation, null);
-    assertTrue(failed.breach().like(again.breach()), "the script replays it: " + shrunk);
+    assertTrue(
+        failed.violation().isSameKindAs(again.violation()), "the script replays it: " + shrunk);
     assertEquals(
         null,
-        ScenarioRun.play(Scenario.read(shrunk), Mutation.NONE, null).breach(),
+        ScenarioRun.play(Scenario.read(shrunk), Mutation.NONE, null).violation(),
         "without it all is kept");
   }
 
--- a/src/test/java/pathgw/simulation/SimulationTest.java
+++ b/src/test/java/pathgw/simulation/SimulationTest.java
@@ -45,9 +45,9 @@
     for (long seed = 0; seed < FLEETS; seed++) {
       proxies += ScenarioGenerator.fleet(seed).proxies();
     }
-    long calls = sum.counts().get("fleet list calls");
+    long calls = sum.counts().get("fleet discovery calls");
     assertTrue(calls <= 5 * proxies, calls + " calls of " + proxies + " proxies");
-    assertTrue(sum.counts().get("fleet hand-offs to cold nodes") > 0);
+    assertTrue(sum.counts().get("fleet attempts to cold nodes") > 0);
   }
 
   @Test
@@ -60,7 +60,8 @@
     for (Path scenario : scripts) {
       assertEquals(
           null,
-          ScenarioRun.play(Scenario.read(Files.readString(scenario)), Mutation.NONE, null).breach(),
+          ScenarioRun.play(Scenario.read(Files.readString(scenario)), Mutation.NONE, null)
+              .violation(),
           scenario.toString());
     }
   }
