--- a/src/main/java/pathgw/cli/SimulateCommand.java
+++ b/src/main/java/pathgw/cli/SimulateCommand.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
-import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
@@ -78,7 +77,7 @@
     String scenario =
         what.seed != null ? SeedRange.scenario(what.seed, fleet) : read(what.scenario);
     try {
-      String breach = SeedRange.trace(scenario, trace ? System.out::println : null);
+      String breach = SeedRange.playScenario(scenario, trace ? System.out::println : null);
       System.out.println(breach == null ? "all rules kept" : scenario + breach);
       return breach == null ? 0 : 1;
     } catch (InvalidInputException e) {
@@ -119,30 +118,30 @@
     long began = System.nanoTime();
     @SuppressWarnings("SystemConsoleNull") // Only that no counting line fills a file.
     boolean terminal = System.console() != null;
-    Consumer<long[]> played =
-        so -> {
-          if (terminal && so[0] % (fleet ? 1 : 50) == 0) {
-            System.err.printf("\r%d of %d seeds, %d failed ", so[0], to - from + 1, so[1]);
+    SeedRange.ProgressListener played =
+        (done, failed) -> {
+          if (terminal && done % (fleet ? 1 : 50) == 0) {
+            System.err.printf("\r%d of %d seeds, %d failed ", done, to - from + 1, failed);
           }
         };
-    SeedRange.Sum sum =
+    SeedRange.Result sum =
         fleet
-            ? SeedRange.fleets(from, to, jobs, true, played)
+            ? SeedRange.playFleets(from, to, jobs, true, played)
             : SeedRange.play(from, to, jobs, true, played);
-    for (SeedRange.Failure f : sum.failed()) {
-      System.out.println("seed " + f.seed() + ": " + f.breach());
+    for (SeedRange.Failure f : sum.failures()) {
+      System.out.println("seed " + f.seed() + ": " + f.violation());
       if (!f.shrunk().isEmpty()) {
         System.out.println(f.shrunk().indent(4));
         if (keep != null) {
           Files.createDirectories(keep);
           Files.writeString(
-              keep.resolve("seed-" + f.seed() + ".txt"), "# " + f.breach() + "\n" + f.shrunk());
+              keep.resolve("seed-" + f.seed() + ".txt"), "# " + f.violation() + "\n" + f.shrunk());
         }
       }
     }
     if (counts) {
       sum.counts().forEach((kind, n) -> System.out.printf("%10d  %s%n", n, kind));
-      List<Double> service = sum.service().stream().sorted().toList();
+      List<Double> service = sum.serviceRates().stream().sorted().toList();
       if (!service.isEmpty()) {
         System.out.printf(
             Locale.ROOT,
@@ -163,9 +162,9 @@
         Locale.ROOT,
         "%d seeds, %d failed, %.1f s, digest %016x%n",
         sum.played(),
-        sum.failed().size(),
+        sum.failures().size(),
         took,
         sum.digest());
-    return sum.failed().isEmpty() ? 0 : 1;
+    return sum.failures().isEmpty() ? 0 : 1;
   }
 }
--- /dev/null
+++ b/src/main/java/pathgw/simulation/DiscoveryFaults.java
@@ -0,0 +1,60 @@
+package pathgw.simulation;
+
+import java.time.Duration;
+import java.util.List;
+import pathgw.fake.FakeDiscovery;
+import pathgw.simulation.cluster.Cluster;
+import pathgw.simulation.cluster.EndpointHealth;
+import pathgw.simulation.cluster.RunEnvironment;
+import pathgw.simulation.cluster.SimulatedDiscovery;
+import pathgw.simulation.cluster.SimulatedNode;
+import pathgw.simulation.scenario.Fault;
+
+/** Faults of the discovery service and of what it lists. */
+final class DiscoveryFaults {
+  /** All nodes of one fault are listed as draining within this. */
+  private static final long DRAIN_SPREAD_NANOS = 1_000_000_000L;
+
+  private final SimulatedDiscovery discovery;
+  private final RunEnvironment environment;
+  private final FaultTimer timer;
+
+  DiscoveryFaults(Cluster cluster, FaultTimer timer) {
+    this.timer = timer;
+    discovery = cluster.discovery();
+    environment = cluster.environment();
+  }
+
+  /** Injects a fault of discovery. */
+  void inject(Fault fault) {
+    FakeDiscovery service = discovery.service();
+    switch (fault.kind()) {
+      case LIST_LATE ->
+          timer.during(fault, delayMs -> service.late(Duration.ofMillis((long) delayMs)), 0);
+      case LIST_DOWN -> {
+        discovery.markUnreachable(fault);
+        timer.during(fault, () -> service.down(true), () -> service.down(false));
+      }
+      case LIST_REFUSES -> timer.during(fault, service::refuses, 0);
+      case LIST_ENDS -> service.endWatches();
+      case LIST_SILENT -> discovery.silenceWatches(fault.by());
+      case LIST_DRAINS -> listAsDraining(fault);
+      default -> throw new IllegalArgumentException("no fault of discovery: " + fault);
+    }
+  }
+
+  /** Lists a share of the nodes as draining; they continue to serve. */
+  private void listAsDraining(Fault fault) {
+    List<SimulatedNode> nodes = environment.members().stayingNodes().toList();
+    int count = (int) Math.ceil(nodes.size() * Math.min(1, fault.by()));
+    for (int i = 0; i < count; i++) {
+      SimulatedNode node = nodes.get(i);
+      environment.afterNanos(
+          i * DRAIN_SPREAD_NANOS / count,
+          () -> {
+            node.markLeaving();
+            discovery.publish(node, EndpointHealth.DRAINING);
+          });
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/FaultInjector.java
@@ -0,0 +1,115 @@
+package pathgw.simulation;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pathgw.fake.FakeClients;
+import pathgw.fake.FaultInjection;
+import pathgw.simulation.cluster.Cluster;
+import pathgw.simulation.cluster.RunEnvironment;
+import pathgw.simulation.cluster.SimulatedNode;
+import pathgw.simulation.cluster.SimulatedProxy;
+import pathgw.simulation.network.VirtualNetwork;
+import pathgw.simulation.scenario.Fault;
+
+/** Lets the faults of a scenario happen, each in the part of the cluster that it concerns. */
+final class FaultInjector {
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final Cluster cluster;
+  private final RunEnvironment environment;
+  private final FaultTimer timer;
+  private final NodeFaults nodeFaults;
+  private final ProxyFaults proxyFaults;
+  private final DiscoveryFaults discoveryFaults;
+  private final Map<String, Long> counts = new LinkedHashMap<>();
+
+  FaultInjector(Cluster cluster) {
+    this.cluster = cluster;
+    environment = cluster.environment();
+    timer = new FaultTimer(environment);
+    nodeFaults = new NodeFaults(cluster, timer);
+    proxyFaults = new ProxyFaults(cluster);
+    discoveryFaults = new DiscoveryFaults(cluster, timer);
+  }
+
+  /** How many faults of each kind were injected, by the kind's word. */
+  Map<String, Long> counts() {
+    return counts;
+  }
+
+  /** Injects a fault now. */
+  @SuppressWarnings("EnumOrdinal") // Part of the digest.
+  void inject(Fault fault) {
+    long now = environment.now();
+    environment.trace().mix(now, fault.kind().ordinal());
+    environment.trace().say(now, fault::toString);
+    counts.merge(fault.kind().word(), 1L, Long::sum);
+    switch (fault.kind().scope()) {
+      case NODE -> nodeFaults.inject(fault, targetNode(fault));
+      case PROXY -> proxyFaults.inject(fault, targetProxy(fault));
+      case WORLD -> injectInWorld(fault);
+    }
+  }
+
+  private SimulatedNode targetNode(Fault fault) {
+    int initialNodes = environment.scenario().nodes();
+    return environment.members().nodes().get(fault.target() % initialNodes);
+  }
+
+  private SimulatedProxy targetProxy(Fault fault) {
+    List<SimulatedProxy> proxies = environment.members().proxies();
+    return proxies.get(fault.target() % proxies.size());
+  }
+
+  private void injectInWorld(Fault fault) {
+    switch (fault.kind()) {
+      case GROWS -> cluster.nodes().addColdNode();
+      case DEPLOY -> nodeFaults.deploy(fault);
+      case ZONE_LOST -> nodeFaults.loseZone(fault);
+      case ZONE_SILENT -> nodeFaults.cutOffZone(fault);
+      case RESTART -> proxyFaults.restartShare(fault);
+      case HANGUP -> cluster.proxies().moveDiscovery();
+      case ORIGIN_SLOW, ORIGIN_FAILS, ORIGIN_SPOILS, ORIGIN_RESETS -> injectAtOrigin(fault);
+      case PEERS_LOSE, PEERS_LATE -> injectInGossip(fault);
+      case BURST, HOT, GREED, LEAVE -> injectAtClients(fault);
+      default -> discoveryFaults.inject(fault);
+    }
+  }
+
+  private void injectAtOrigin(Fault fault) {
+    FaultInjection origin = cluster.nodes().originFaults();
+    switch (fault.kind()) {
+      case ORIGIN_SLOW -> timer.during(fault, factor -> origin.slower = factor, 1);
+      case ORIGIN_FAILS -> timer.during(fault, share -> origin.fails = share, 0);
+      case ORIGIN_SPOILS -> timer.during(fault, share -> origin.spoils = share, 0);
+      case ORIGIN_RESETS -> timer.during(fault, share -> origin.resets = share, 0);
+      default -> throw new IllegalArgumentException("no fault of the origin: " + fault);
+    }
+  }
+
+  private void injectInGossip(Fault fault) {
+    VirtualNetwork network = environment.network();
+    switch (fault.kind()) {
+      case PEERS_LOSE -> timer.during(fault, share -> network.setDatagramFaults(share, 0), 0);
+      case PEERS_LATE ->
+          timer.during(
+              fault,
+              delayMs -> network.setDatagramFaults(0, (long) (delayMs * NANOS_PER_MILLI)),
+              0);
+      default -> throw new IllegalArgumentException("no fault of gossip: " + fault);
+    }
+  }
+
+  private void injectAtClients(Fault fault) {
+    FakeClients.Habits habits = cluster.clients().habits();
+    double steadyRate = environment.scenario().requestsPerSecond();
+    switch (fault.kind()) {
+      case BURST -> timer.during(fault, factor -> habits.rate = steadyRate * factor, 1);
+      case HOT -> timer.during(fault, share -> habits.hot = share, 0);
+      case GREED -> timer.during(fault, factor -> habits.greed = factor, 1);
+      case LEAVE -> timer.during(fault, share -> habits.leaves = share, 0);
+      default -> throw new IllegalArgumentException("no fault of clients: " + fault);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/NodeFaults.java
@@ -0,0 +1,181 @@
+package pathgw.simulation;
+
+import java.util.List;
+import pathgw.fake.FaultInjection;
+import pathgw.simulation.cluster.Cluster;
+import pathgw.simulation.cluster.ClusterMembers;
+import pathgw.simulation.cluster.EndpointHealth;
+import pathgw.simulation.cluster.RunEnvironment;
+import pathgw.simulation.cluster.SimulatedNode;
+import pathgw.simulation.network.VirtualNetwork;
+import pathgw.simulation.network.VirtualProcess;
+import pathgw.simulation.scenario.Fault;
+import pathgw.simulation.scenario.Fault.Kind;
+
+/** Faults of cache nodes: of one, of a zone, and of all during a deployment. */
+final class NodeFaults {
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** A node that died is listed as gone after this and up to a second more. */
+  private static final long DEATH_LISTED_AFTER_MS = 300;
+
+  private static final long DEATH_LISTED_SPREAD_MS = 1000;
+
+  /** A node that is cut off is listed as gone after this. */
+  private static final long CUT_OFF_LISTED_AFTER_MS = 1000;
+
+  /** After it was listed as draining: when a node rejects requests, is listed as gone, and ends. */
+  private static final long DRAIN_REJECTS_AFTER_MS = 1000;
+
+  private static final long DRAIN_LISTED_GONE_AFTER_MS = 2500;
+  private static final long DRAIN_ENDS_AFTER_MS = 3500;
+
+  /** The least time between two nodes that are replaced in a deployment. */
+  private static final long MIN_DEPLOY_INTERVAL_MS = 50;
+
+  private final Cluster cluster;
+  private final RunEnvironment environment;
+  private final ClusterMembers members;
+  private final FaultTimer timer;
+
+  NodeFaults(Cluster cluster, FaultTimer timer) {
+    this.cluster = cluster;
+    this.timer = timer;
+    environment = cluster.environment();
+    members = environment.members();
+  }
+
+  /** Injects a fault of one node. */
+  void inject(Fault fault, SimulatedNode node) {
+    switch (fault.kind()) {
+      case DIES, MOVES -> die(node, fault);
+      case FREEZES -> stall(node.process(), fault);
+      case VANISHES -> cutOff(node, fault);
+      case DRAINS -> drain(node);
+      case FLUSHED -> node.cacheNode().flush();
+      case CUTS, CONNECTS_LATE -> injectInNetwork(fault, node.process());
+      default -> injectInRequests(fault, node.faults());
+    }
+  }
+
+  private void stall(VirtualProcess process, Fault fault) {
+    process.stallUntil(environment.now() + fault.forMs() * RunEnvironment.NANOS_PER_MILLI);
+  }
+
+  private void injectInNetwork(Fault fault, VirtualProcess process) {
+    VirtualNetwork network = environment.network();
+    if (fault.kind() == Kind.CUTS) {
+      timer.during(fault, share -> network.setResetShare(process, share), 0);
+    } else {
+      timer.during(
+          fault,
+          delayMs -> network.setMaxConnectDelay(process, (long) (delayMs * NANOS_PER_MILLI)),
+          0);
+    }
+  }
+
+  private void injectInRequests(Fault fault, FaultInjection node) {
+    switch (fault.kind()) {
+      case SLOW -> timer.during(fault, factor -> node.slower = factor, 1);
+      case RESETS -> timer.during(fault, share -> node.resets = share, 0);
+      case CLOSES -> timer.during(fault, share -> node.closes = share, 0);
+      case SPOILS -> timer.during(fault, share -> node.spoils = share, 0);
+      case BABBLES -> timer.during(fault, share -> node.extra = share, 0);
+      case FAILS -> timer.during(fault, share -> node.fails = share, 0);
+      case BUSY -> timer.during(fault, share -> node.busy = share, 0);
+      default -> throw new IllegalArgumentException("no fault of a node: " + fault);
+    }
+  }
+
+  /** All nodes of a zone die. */
+  void loseZone(Fault fault) {
+    zone(fault).forEach(node -> die(node, fault));
+  }
+
+  /** All machines of a zone are cut off. */
+  void cutOffZone(Fault fault) {
+    zone(fault).forEach(node -> cutOff(node, fault));
+  }
+
+  private List<SimulatedNode> zone(Fault fault) {
+    int zones = environment.scenario().fleet().zones();
+    int lostZone = (int) fault.by() % zones;
+    return members.nodes().stream().filter(node -> node.zone() == lostZone).toList();
+  }
+
+  private void die(SimulatedNode node, Fault fault) {
+    if (!node.isStaying() || (fault.isPermanent() && !members.hasSpareNodes())) {
+      return;
+    }
+    VirtualProcess process = node.process();
+    process.kill();
+    long listedAfterMs = DEATH_LISTED_AFTER_MS + fault.atMs() % DEATH_LISTED_SPREAD_MS;
+    cluster.discovery().publishLater(node, EndpointHealth.GONE, listedAfterMs);
+    if (!fault.isPermanent()) {
+      environment.afterMillis(fault.forMs(), () -> restart(node, process, fault));
+    }
+  }
+
+  private void restart(SimulatedNode node, VirtualProcess diedProcess, Fault fault) {
+    if (node.process() != diedProcess) {
+      return;
+    }
+    if (fault.kind() == Kind.MOVES) {
+      cluster.nodes().restartElsewhere(node);
+    } else {
+      cluster.nodes().restart(node);
+    }
+  }
+
+  private void cutOff(SimulatedNode node, Fault fault) {
+    if (!node.isStaying() || fault.isPermanent()) {
+      return;
+    }
+    VirtualProcess process = node.process();
+    process.cutOff();
+    boolean[] reconnected = {false};
+    environment.afterMillis(
+        CUT_OFF_LISTED_AFTER_MS,
+        () -> {
+          if (!reconnected[0] && node.process() == process && !node.isLeaving()) {
+            cluster.discovery().publish(node, EndpointHealth.GONE);
+          }
+        });
+    environment.afterMillis(
+        fault.forMs(),
+        () -> {
+          reconnected[0] = true;
+          process.reconnect();
+          if (node.process() == process && node.isStaying()) {
+            cluster.discovery().publish(node, EndpointHealth.READY);
+          }
+        });
+  }
+
+  private void drain(SimulatedNode node) {
+    if (!node.isStaying() || node.process().isCutOff() || !members.hasSpareNodes()) {
+      return;
+    }
+    node.markLeaving();
+    VirtualProcess process = node.process();
+    cluster.discovery().publish(node, EndpointHealth.DRAINING);
+    environment.afterMillis(DRAIN_REJECTS_AFTER_MS, () -> node.cacheNode().drain());
+    cluster.discovery().publishLater(node, EndpointHealth.GONE, DRAIN_LISTED_GONE_AFTER_MS);
+    environment.afterMillis(DRAIN_ENDS_AFTER_MS, process::kill);
+  }
+
+  /** Replaces a share of the nodes by new ones, one after another. */
+  void deploy(Fault fault) {
+    List<SimulatedNode> oldNodes = members.stayingNodes().toList();
+    int count = (int) Math.ceil(oldNodes.size() * Math.min(1, fault.by()));
+    for (int i = 0; i < count; i++) {
+      SimulatedNode oldNode = oldNodes.get(i);
+      environment.afterMillis(
+          i * Math.max(MIN_DEPLOY_INTERVAL_MS, fault.forMs() / count),
+          () -> {
+            cluster.nodes().addColdNode();
+            drain(oldNode);
+          });
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/ProxyFaults.java
@@ -0,0 +1,52 @@
+package pathgw.simulation;
+
+import java.util.List;
+import pathgw.simulation.cluster.Cluster;
+import pathgw.simulation.cluster.RunEnvironment;
+import pathgw.simulation.cluster.SimulatedProxy;
+import pathgw.simulation.scenario.Fault;
+
+/** Faults of proxies: of one, and of many at once. */
+final class ProxyFaults {
+  private final Cluster cluster;
+  private final RunEnvironment environment;
+
+  ProxyFaults(Cluster cluster) {
+    this.cluster = cluster;
+    environment = cluster.environment();
+  }
+
+  /** Injects a fault of one proxy. */
+  void inject(Fault fault, SimulatedProxy proxy) {
+    switch (fault.kind()) {
+      case KILLED -> killAndRestart(proxy, fault);
+      case STOPPED -> stopAndRestart(proxy, fault);
+      case STANDS_STILL ->
+          proxy
+              .process()
+              .stallUntil(environment.now() + fault.forMs() * RunEnvironment.NANOS_PER_MILLI);
+      default -> throw new IllegalArgumentException("no fault of a proxy: " + fault);
+    }
+  }
+
+  private void killAndRestart(SimulatedProxy proxy, Fault fault) {
+    if (!proxy.process().isDead()) {
+      cluster.proxies().killAndRestart(proxy, fault.forMs());
+    }
+  }
+
+  private void stopAndRestart(SimulatedProxy proxy, Fault fault) {
+    if (proxy.isServingNormally()) {
+      cluster.proxies().stopAndRestart(proxy, fault.forMs());
+    }
+  }
+
+  /** Kills a share of the proxies at once and starts them again. */
+  void restartShare(Fault fault) {
+    List<SimulatedProxy> proxies = environment.members().proxies();
+    int count = (int) (proxies.size() * Math.min(1, fault.by()));
+    for (SimulatedProxy proxy : proxies.subList(0, count)) {
+      killAndRestart(proxy, fault);
+    }
+  }
+}
--- a/src/main/java/pathgw/simulation/RunResult.java
+++ b/src/main/java/pathgw/simulation/RunResult.java
@@ -2,14 +2,18 @@
 
 import java.util.Map;
 import pathgw.simulation.invariant.Violation;
+import pathgw.simulation.scenario.Scenario;
 
 /**
- * What became of a run.
+ * The result of one run.
  *
- * @param violation the first rule that was broken, or null
- * @param steps things that happened
- * @param service the share of first tries that were served in the last three seconds
- * @param counts how often each trouble, end and answer came
+ * @param scenario what was played
+ * @param violation the first violation of a rule, or null
+ * @param digest of all events and bytes, in their order
+ * @param steps how many events happened
+ * @param virtualMs how long the run took in virtual time
+ * @param serviceRate the share of first attempts that were served in the last three seconds
+ * @param counts how often each kind of fault, end and response came
  */
 record RunResult(
     Scenario scenario,
@@ -17,5 +21,5 @@
     long digest,
     long steps,
     long virtualMs,
-    double service,
+    double serviceRate,
     Map<String, Long> counts) {}
--- a/src/main/java/pathgw/simulation/ScenarioShrinker.java
+++ b/src/main/java/pathgw/simulation/ScenarioShrinker.java
@@ -2,125 +2,161 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Function;
+import pathgw.simulation.cluster.Mutation;
 import pathgw.simulation.invariant.Violation;
+import pathgw.simulation.scenario.Fault;
+import pathgw.simulation.scenario.Figure;
+import pathgw.simulation.scenario.Scenario;
 
-/** Makes a script that breaks a rule as small as it stays while it breaks the rule alike. */
+/**
+ * Makes a scenario that violates a rule as small as it can be with the same kind of violation.
+ *
+ * <p>It tries one simplification after another and keeps each that still fails, until a whole round
+ * changes nothing or the bound on runs is reached.
+ */
 final class ScenarioShrinker {
-  private static final int MOST_PLAYS = 400;
+  private static final int MAX_RUNS = 400;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long MIN_DURATION_MS = 500;
 
-  private final Function<Scenario, RunResult> play;
+  /** A violation may need this long after its cause to be seen again. */
+  private static final long DURATION_MARGIN_MS = 1000;
+
+  private static final List<Figure> FIGURES_TO_ZERO =
+      List.of(Figure.RUDE, Figure.STAY, Figure.WARM_UP);
+  private static final List<Figure> FIGURES_TO_DEFAULT =
+      List.of(Figure.KEYS, Figure.SKEW, Figure.ROOM, Figure.TIPS, Figure.MEMORY, Figure.SOCKETS);
+  private static final List<Integer> NODE_COUNTS = List.of(1, 2, 3, 4, 6, 8, 12);
+
+  private final Mutation mutation;
   private final Violation violation;
-  private Scenario best;
-  private int plays;
+  private Scenario smallest;
+  private int runs;
 
-  private ScenarioShrinker(Function<Scenario, RunResult> play, RunResult failed) {
-    this.play = play;
+  private ScenarioShrinker(RunResult failed, Mutation mutation) {
+    this.mutation = mutation;
     violation = failed.violation();
-    best = failed.scenario();
+    smallest = failed.scenario();
   }
 
-  /**
-   * @param play plays a script; called a bounded number of times
-   */
-  static Scenario shrink(Function<Scenario, RunResult> play, RunResult failed) {
-    ScenarioShrinker shrink = new ScenarioShrinker(play, failed);
+  /** The smallest scenario found; it plays a bounded number of runs. */
+  static Scenario shrink(RunResult failed, Mutation mutation) {
+    ScenarioShrinker shrinker = new ScenarioShrinker(failed, mutation);
     Scenario before;
     do {
-      before = shrink.best;
-      shrink.time(failed);
-      shrink.faults();
-      shrink.figures();
-      shrink.times();
-    } while (!shrink.best.equals(before) && shrink.plays < MOST_PLAYS);
-    return shrink.best;
+      before = shrinker.smallest;
+      shrinker.shrinkDuration();
+      shrinker.removeFaults();
+      shrinker.shrinkFigures();
+      shrinker.simplifyFaultTimes();
+    } while (!shrinker.smallest.equals(before) && shrinker.runs < MAX_RUNS);
+    return shrinker.smallest;
   }
 
-  private boolean takes(Scenario smaller) {
-    if (smaller.equals(best) || plays++ >= MOST_PLAYS) {
+  /** Keeps a simpler scenario if it has the same kind of violation. */
+  private boolean tryScenario(Scenario simpler) {
+    if (simpler.equals(smallest) || runs++ >= MAX_RUNS) {
       return false;
     }
-    if (violation.isSameKindAs(play.apply(smaller).violation())) {
-      best = smaller;
+    if (violation.isSameKindAs(ScenarioRun.play(simpler, mutation, null).violation())) {
+      smallest = simpler;
       return true;
     }
     return false;
   }
 
-  /** What comes after the breach has no part in it; a leak shows only at the end of a run. */
-  private void time(RunResult failed) {
-    for (long lasts :
-        new long[] {
-          best.lastsMs() / 4, best.lastsMs() / 2, failed.violation().atNanos() / 1_000_000 + 1000
-        }) {
-      long ends = Math.max(500, lasts);
-      if (ends < best.lastsMs()) {
-        takes(
-            best.with("lasts", ends)
-                .with(best.faults().stream().filter(f -> f.atMs() < ends).toList()));
+  /** What comes after the violation is not its cause; but a leak shows only at the end of a run. */
+  private void shrinkDuration() {
+    long untilViolation = violation.atNanos() / NANOS_PER_MILLI + DURATION_MARGIN_MS;
+    long[] durations = {smallest.durationMs() / 4, smallest.durationMs() / 2, untilViolation};
+    for (long duration : durations) {
+      long durationMs = Math.max(MIN_DURATION_MS, duration);
+      if (durationMs < smallest.durationMs()) {
+        List<Fault> faults =
+            smallest.faults().stream().filter(fault -> fault.atMs() < durationMs).toList();
+        tryScenario(smallest.with(Figure.LASTS, durationMs).withFaults(faults));
       }
     }
   }
 
-  /** Leaves out halves, then quarters, and so on down to each one. */
-  private void faults() {
-    for (int size = Math.max(1, best.faults().size() / 2); size >= 1; size /= 2) {
-      for (int at = 0; at < best.faults().size(); ) {
-        List<Fault> left = new ArrayList<>(best.faults());
-        left.subList(at, Math.min(at + size, left.size())).clear();
-        if (!takes(best.with(left))) {
-          at += size;
+  /** Leaves out halves, then quarters, and so on down to each single fault. */
+  private void removeFaults() {
+    for (int size = Math.max(1, smallest.faults().size() / 2); size >= 1; size /= 2) {
+      int start = 0;
+      while (start < smallest.faults().size()) {
+        List<Fault> remaining = new ArrayList<>(smallest.faults());
+        remaining.subList(start, Math.min(start + size, remaining.size())).clear();
+        if (!tryScenario(smallest.withFaults(remaining))) {
+          start += size;
         }
       }
     }
   }
 
-  private void figures() {
-    for (String word : new String[] {"rude", "stay", "warm-up"}) {
-      takes(best.with(word, 0));
+  private void shrinkFigures() {
+    for (Figure figure : FIGURES_TO_ZERO) {
+      tryScenario(smallest.with(figure, 0));
     }
-    for (int least = 1; least < best.proxies(); least++) {
-      if (takes(best.with("proxies", least))) {
-        break;
-      }
+    shrinkProxies();
+    shrinkNodes();
+    shrinkRate();
+    for (Figure figure : FIGURES_TO_DEFAULT) {
+      tryScenario(smallest.with(figure, figure.of(Scenario.DEFAULTS)));
     }
-    for (int least : new int[] {1, 2, 3, 4, 6, 8, 12}) {
-      if (least < best.nodes() && takes(best.with("nodes", least))) {
-        break;
+    Scenario lookAside = smallest.withMode(Scenario.LOOK_ASIDE);
+    Scenario oneDedupScope = smallest.withDedupScope(Scenario.DEFAULTS.dedupScope());
+    tryScenario(lookAside);
+    tryScenario(oneDedupScope);
+  }
+
+  private void shrinkProxies() {
+    for (int proxies = 1; proxies < smallest.proxies(); proxies++) {
+      if (tryScenario(smallest.with(Figure.PROXIES, proxies))) {
+        return;
       }
     }
-    boolean slower = true;
-    while (slower) {
-      slower = takes(best.with("rate", Math.max(1, Math.floor(best.rate() / 2))));
+  }
+
+  private void shrinkNodes() {
+    for (int nodes : NODE_COUNTS) {
+      if (nodes < smallest.nodes() && tryScenario(smallest.with(Figure.NODES, nodes))) {
+        return;
+      }
     }
-    Scenario p = Scenario.PLAIN;
-    takes(best.with("keys", p.keys()));
-    takes(best.with("skew", p.skew()));
-    takes(best.with("room", p.room()));
-    takes(best.with("tips", p.tips()));
-    takes(best.with("memory", p.memoryMs()));
-    takes(best.with("sockets", p.sockets()));
-    for (Scenario simpler : List.of(best.mode("aside"), best.group("all"))) {
-      takes(simpler);
+  }
+
+  private void shrinkRate() {
+    boolean shrunk = true;
+    while (shrunk) {
+      double halfRate = Math.max(1, Math.floor(smallest.requestsPerSecond() / 2));
+      shrunk = tryScenario(smallest.with(Figure.RATE, halfRate));
     }
   }
 
-  private void times() {
-    for (int i = 0; i < best.faults().size(); i++) {
-      Fault f = best.faults().get(i);
-      long[][] times = {
-        {f.atMs(), f.forMs() / 2},
-        {f.atMs() / 100 * 100, f.forMs() / 100 * 100},
-        {f.atMs() / 1000 * 1000, f.forMs()}
-      };
-      for (long[] t : times) {
-        // A length of 0 would mean for good.
-        if (t[1] > 0 || f.forMs() == 0) {
-          List<Fault> changed = new ArrayList<>(best.faults());
-          changed.set(i, new Fault(t[0], t[1], f.kind(), f.target(), f.by()));
-          takes(best.with(changed));
+  private record FaultTime(long atMs, long forMs) {}
+
+  private void simplifyFaultTimes() {
+    for (int index = 0; index < smallest.faults().size(); index++) {
+      Fault fault = smallest.faults().get(index);
+      for (FaultTime time : simplerTimes(fault)) {
+        // A duration of 0 would make a temporary fault permanent.
+        if (time.forMs > 0 || fault.isPermanent()) {
+          tryScenario(withFaultTime(index, fault, time));
         }
       }
     }
   }
+
+  private static List<FaultTime> simplerTimes(Fault fault) {
+    return List.of(
+        new FaultTime(fault.atMs(), fault.forMs() / 2),
+        new FaultTime(fault.atMs() / 100 * 100, fault.forMs() / 100 * 100),
+        new FaultTime(fault.atMs() / 1000 * 1000, fault.forMs()));
+  }
+
+  private Scenario withFaultTime(int index, Fault fault, FaultTime time) {
+    List<Fault> faults = new ArrayList<>(smallest.faults());
+    faults.set(index, new Fault(time.atMs, time.forMs, fault.kind(), fault.target(), fault.by()));
+    return smallest.withFaults(faults);
+  }
 }
--- a/src/main/java/pathgw/simulation/SeedRange.java
+++ b/src/main/java/pathgw/simulation/SeedRange.java
@@ -12,131 +12,186 @@
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import pathgw.simulation.cluster.Mutation;
 import pathgw.simulation.invariant.RunCounters;
+import pathgw.simulation.scenario.Scenario;
+import pathgw.simulation.scenario.ScenarioGenerator;
 
 /**
- * Plays many seeds, each wholly on one thread; what comes out is the same however many threads
- * there are.
+ * Plays a range of seeds, each run wholly on one thread.
+ *
+ * <p>The results are taken in the order of the seeds, so that they are the same however many
+ * threads there are.
  */
 public final class SeedRange {
   /**
-   * What came of a range of seeds.
+   * The results of a range of seeds.
    *
-   * @param failed the outcomes in which a rule was broken, by seed
-   * @param digest of all digests, in the order of the seeds
-   * @param counts how often each trouble, end and answer came
-   * @param service the shares of first tries served after the troubles, of the runs that kept all
-   *     rules
+   * @param played how many runs there were
+   * @param failures the runs that violated a rule, by seed
+   * @param digest of the digests of all runs, in the order of the seeds
+   * @param virtualMs how long all runs took in virtual time
+   * @param steps how many events all runs had
+   * @param counts how often each kind of fault, end and response came
+   * @param serviceRates the shares of first attempts served at the end of each run without
+   *     violation
    */
-  public record Sum(
+  public record Result(
       long played,
-      List<Failure> failed,
+      List<Failure> failures,
       long digest,
       long virtualMs,
       long steps,
       Map<String, Long> counts,
-      List<Double> service) {}
+      List<Double> serviceRates) {}
 
-  /** A seed that broke a rule, and the small script that breaks it alike. */
-  public record Failure(long seed, String breach, String scenario, String shrunk) {}
+  /**
+   * A run that violated a rule.
+   *
+   * @param seed of the run
+   * @param violation in words
+   * @param scenario the text of the scenario that was drawn
+   * @param shrunk the text of a small scenario with the same violation; empty if it was not shrunk
+   */
+  public record Failure(long seed, String violation, String scenario, String shrunk) {}
+
+  /** Hears how far a range has been played. */
+  public interface ProgressListener {
+    /** Ignores the progress. */
+    ProgressListener NONE = (played, failed) -> {};
+
+    /** One more run has ended; called in the order of the seeds. */
+    void runEnded(long played, long failed);
+  }
+
+  /** This many runs for each thread are submitted ahead of the one whose result is awaited. */
+  private static final int RUNS_AHEAD_PER_THREAD = 16;
+
+  private static final int MAX_SHRUNK_SCENARIOS = 8;
 
-  private static final int AHEAD = 16;
+  /** Runs of large fleets take some hundred times as long. */
+  private static final int MAX_SHRUNK_FLEETS = 1;
 
-  private SeedRange() {}
+  private static final long DIGEST_MULTIPLIER = 0x9E3779B97F4A7C15L;
+  private static final int DIGEST_ROTATION = 31;
+
+  private final Mutation mutation;
+  private final int threads;
+  private final ProgressListener progress;
+  private final Map<String, Long> counts = new TreeMap<>();
+  private final List<Double> serviceRates = new ArrayList<>();
+  private final List<RunResult> failed = new ArrayList<>();
+  private long played;
+  private long digest;
+  private long virtualMs;
+  private long steps;
+
+  private SeedRange(Mutation mutation, int threads, ProgressListener progress) {
+    this.mutation = mutation;
+    this.threads = threads;
+    this.progress = progress;
+  }
 
   /**
-   * Plays a range of seeds.
+   * Plays a range of seeds, both ends included.
    *
-   * @param jobs threads
-   * @param played hears of each outcome in the order of the seeds: how many so far and how many
-   *     failed
-   * @param shrink whether failures are shrunk; the first few only
+   * @param shrink whether the first few failures are shrunk
    */
-  public static Sum play(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
+  public static Result play(
+      long from, long to, int threads, boolean shrink, ProgressListener progress)
       throws InterruptedException {
-    return play(from, to, jobs, shrink ? 8 : 0, Mutation.NONE, ScenarioGenerator::scenario, played);
+    return new SeedRange(Mutation.NONE, threads, progress)
+        .play(from, to, ScenarioGenerator::scenario, shrink ? MAX_SHRUNK_SCENARIOS : 0);
   }
 
-  /** The same of large fleets, which take some hundred times as long. */
-  public static Sum fleets(long from, long to, int jobs, boolean shrink, Consumer<long[]> played)
+  /** The same with large fleets. */
+  public static Result playFleets(
+      long from, long to, int threads, boolean shrink, ProgressListener progress)
       throws InterruptedException {
-    return play(from, to, jobs, shrink ? 1 : 0, Mutation.NONE, ScenarioGenerator::fleet, played);
+    return new SeedRange(Mutation.NONE, threads, progress)
+        .play(from, to, ScenarioGenerator::fleet, shrink ? MAX_SHRUNK_FLEETS : 0);
+  }
+
+  /**
+   * Plays one scenario.
+   *
+   * @param traceReader receives each line of what happens; null for none
+   * @return the violation in words, or null
+   */
+  public static String playScenario(String scenario, Consumer<String> traceReader) {
+    RunResult result = ScenarioRun.play(Scenario.parse(scenario), Mutation.NONE, traceReader);
+    return result.violation() == null ? null : result.violation().toString();
   }
 
-  static Sum play(
-      long from,
-      long to,
-      int jobs,
-      int shrinks,
-      Mutation mutation,
-      LongFunction<Scenario> draw,
-      Consumer<long[]> played)
+  /** The text of the scenario that a seed draws. */
+  public static String scenario(long seed, boolean fleet) {
+    Scenario scenario = fleet ? ScenarioGenerator.fleet(seed) : ScenarioGenerator.scenario(seed);
+    return scenario.toString();
+  }
+
+  private Result play(long from, long to, LongFunction<Scenario> generator, int maxShrunk)
       throws InterruptedException {
-    ExecutorService threads = Executors.newFixedThreadPool(jobs);
+    ExecutorService executor = Executors.newFixedThreadPool(threads);
     try {
-      Deque<Future<RunResult>> ahead = new ArrayDeque<>();
-      long next = from;
-      long digest = 0;
-      long virtualMs = 0;
-      long steps = 0;
-      long count = 0;
-      Map<String, Long> counts = new TreeMap<>();
-      List<Double> service = new ArrayList<>();
-      List<RunResult> failed = new ArrayList<>();
-      while (next <= to || !ahead.isEmpty()) {
-        // However many seeds there are, only so many wait for a thread at a time.
-        while (next <= to && ahead.size() < jobs * AHEAD) {
-          Scenario scenario = draw.apply(next++);
-          ahead.add(threads.submit(() -> ScenarioRun.play(scenario, mutation, null)));
-        }
-        RunResult o = ahead.poll().get();
-        digest = Long.rotateLeft(digest * 0x9E3779B97F4A7C15L, 31) ^ o.digest();
-        virtualMs += o.virtualMs();
-        steps += o.steps();
-        count++;
-        RunCounters.mergeInto(counts, o.counts());
-        if (o.violation() != null) {
-          failed.add(o);
-        } else {
-          service.add(o.service());
-        }
-        played.accept(new long[] {count, failed.size()});
-      }
-      List<Future<Failure>> failures = new ArrayList<>();
-      for (RunResult o : failed) {
-        boolean small = failures.size() < shrinks;
-        failures.add(
-            threads.submit(
-                () ->
-                    new Failure(
-                        o.scenario().seed(),
-                        o.violation().toString(),
-                        o.scenario().toString(),
-                        small
-                            ? ScenarioShrinker.shrink(s -> ScenarioRun.play(s, mutation, null), o)
-                                .toString()
-                            : "")));
-      }
-      List<Failure> told = new ArrayList<>();
-      for (Future<Failure> f : failures) {
-        told.add(f.get());
-      }
-      return new Sum(count, told, digest, virtualMs, steps, counts, service);
+      playAll(executor, from, to, generator);
+      List<Failure> failures = describeFailures(executor, maxShrunk);
+      return new Result(played, failures, digest, virtualMs, steps, counts, serviceRates);
     } catch (ExecutionException e) {
       throw new IllegalStateException("a seed could not be played", e.getCause());
     } finally {
-      threads.shutdownNow();
+      executor.shutdownNow();
+    }
+  }
+
+  private void playAll(
+      ExecutorService executor, long from, long to, LongFunction<Scenario> generator)
+      throws InterruptedException, ExecutionException {
+    Deque<Future<RunResult>> pending = new ArrayDeque<>();
+    long nextSeed = from;
+    while (nextSeed <= to || !pending.isEmpty()) {
+      // Bounded, so that a large range does not queue all its scenarios at once.
+      while (nextSeed <= to && pending.size() < threads * RUNS_AHEAD_PER_THREAD) {
+        Scenario scenario = generator.apply(nextSeed++);
+        pending.add(executor.submit(() -> ScenarioRun.play(scenario, mutation, null)));
+      }
+      add(pending.poll().get());
+      progress.runEnded(played, failed.size());
     }
   }
 
-  /** One run, with each line of what happened. @return the breach in words, or null */
-  public static String trace(String scenario, Consumer<String> out) {
-    RunResult o = ScenarioRun.play(Scenario.read(scenario), Mutation.NONE, out);
-    return o.violation() == null ? null : o.violation().toString();
+  private void add(RunResult result) {
+    digest = Long.rotateLeft(digest * DIGEST_MULTIPLIER, DIGEST_ROTATION) ^ result.digest();
+    virtualMs += result.virtualMs();
+    steps += result.steps();
+    played++;
+    RunCounters.mergeInto(counts, result.counts());
+    if (result.violation() != null) {
+      failed.add(result);
+    } else {
+      serviceRates.add(result.serviceRate());
+    }
   }
 
-  /** The script that a seed draws. */
-  public static String scenario(long seed, boolean fleet) {
-    return (fleet ? ScenarioGenerator.fleet(seed) : ScenarioGenerator.scenario(seed)).toString();
+  private List<Failure> describeFailures(ExecutorService executor, int maxShrunk)
+      throws InterruptedException, ExecutionException {
+    List<Future<Failure>> pending = new ArrayList<>();
+    for (RunResult result : failed) {
+      boolean shrink = pending.size() < maxShrunk;
+      pending.add(executor.submit(() -> describe(result, shrink)));
+    }
+    List<Failure> failures = new ArrayList<>();
+    for (Future<Failure> failure : pending) {
+      failures.add(failure.get());
+    }
+    return failures;
+  }
+
+  private Failure describe(RunResult result, boolean shrink) {
+    String shrunk = shrink ? ScenarioShrinker.shrink(result, mutation).toString() : "";
+    return new Failure(
+        result.scenario().seed(),
+        result.violation().toString(),
+        result.scenario().toString(),
+        shrunk);
   }
 }
--- /dev/null
+++ b/src/main/java/pathgw/simulation/cluster/Cluster.java
@@ -0,0 +1,136 @@
+package pathgw.simulation.cluster;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
+import pathgw.fake.FakeClients;
+import pathgw.fake.FakeClients.Effect;
+import pathgw.fake.FakeClients.RequestClass;
+import pathgw.simulation.network.VirtualProcess;
+import pathgw.simulation.scenario.Scenario;
+
+/** All processes of one run: clients, proxies, cache nodes, origin and discovery. */
+public final class Cluster {
+  private static final String CLIENT_HOST = "10.4.0.1";
+  private static final long CONNECT_TIMEOUT_NANOS = 1_000_000_000L;
+  private static final Duration CLIENTS_START_AFTER = Duration.ofMillis(300);
+  private static final List<String> TENANTS = List.of("one", "two", "three");
+
+  private final RunEnvironment environment;
+  private final SimulatedDiscovery discovery;
+  private final NodeLifecycle nodes;
+  private final ProxyLifecycle proxies;
+  private final VirtualProcess clientsProcess;
+  private final FakeClients clients;
+
+  /**
+   * Builds the cluster of a scenario; nothing runs yet.
+   *
+   * @param traceReader receives each line of what happens; null for none
+   */
+  public Cluster(Scenario scenario, Mutation mutation, Consumer<String> traceReader) {
+    environment = new RunEnvironment(scenario, traceReader);
+    clientsProcess = environment.fakeProcess("clients");
+    discovery = new SimulatedDiscovery(environment);
+    nodes = new NodeLifecycle(environment, discovery);
+    clients = newClients(scenario);
+    proxies = new ProxyLifecycle(environment, mutation, clients, discovery);
+  }
+
+  private FakeClients newClients(Scenario scenario) {
+    return new FakeClients(
+        clientsProcess,
+        environment.random("clients"),
+        this::connectClient,
+        environment.checker(),
+        scenario.proxies(),
+        scenario.fleet().trafficSkew(),
+        requestClasses(scenario),
+        TENANTS,
+        scenario.keys(),
+        scenario.zipfExponent());
+  }
+
+  private static List<RequestClass> requestClasses(Scenario scenario) {
+    boolean sharedDedupMemory = scenario.dedupScope().equals("all");
+    return List.of(
+        new RequestClass(
+            "read", Effect.IDEMPOTENT, true, Duration.ofMillis(1400), Duration.ofMillis(600), 0.7),
+        new RequestClass(
+            "hold",
+            Effect.IDEMPOTENCY_KEYED,
+            sharedDedupMemory,
+            Duration.ofMillis(900),
+            Duration.ofMillis(450),
+            0.2),
+        new RequestClass(
+            "book",
+            Effect.AT_MOST_ONCE,
+            false,
+            Duration.ofMillis(1400),
+            Duration.ofMillis(700),
+            0.1));
+  }
+
+  private void connectClient(
+      int proxy, Function<ConnectionSide, ConnectionHandler> acceptor, Runnable refused) {
+    environment
+        .network()
+        .connect(
+            clientsProcess,
+            CLIENT_HOST,
+            environment.members().proxies().get(proxy).clientAddress(),
+            CONNECT_TIMEOUT_NANOS)
+        .onComplete(
+            connection -> FakeConnections.attach(connection, acceptor), error -> refused.run());
+  }
+
+  /** Starts the servers, then the proxies, then the clients. */
+  public void start() {
+    Scenario scenario = environment.scenario();
+    nodes.listenAtOrigin();
+    discovery.listen();
+    if (!scenario.readThrough()) {
+      nodes.publishOrigin();
+    }
+    for (int node = 0; node < scenario.nodes(); node++) {
+      nodes.addWarmNode();
+    }
+    for (int proxy = 0; proxy < scenario.proxies(); proxy++) {
+      proxies.addProxy();
+    }
+    FakeClients.Habits habits = clients.habits();
+    habits.rate = scenario.requestsPerSecond();
+    habits.rude = scenario.invalidClientsPerSecond();
+    habits.stay = scenario.idleClientShare();
+    clientsProcess.in(CLIENTS_START_AFTER, clients::start);
+  }
+
+  /** What all parts of the run share. */
+  public RunEnvironment environment() {
+    return environment;
+  }
+
+  /** The discovery service. */
+  public SimulatedDiscovery discovery() {
+    return discovery;
+  }
+
+  /** The life cycle of cache nodes, and the origin. */
+  public NodeLifecycle nodes() {
+    return nodes;
+  }
+
+  /** The life cycle of proxies. */
+  public ProxyLifecycle proxies() {
+    return proxies;
+  }
+
+  /** The clients. */
+  public FakeClients clients() {
+    return clients;
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/cluster/ClusterMembers.java
@@ -0,0 +1,91 @@
+package pathgw.simulation.cluster;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import pathgw.simulation.invariant.SimulatedWorld;
+import pathgw.simulation.scenario.Scenario;
+
+/** The cache nodes and proxies of one run, including those that have left. */
+public final class ClusterMembers implements SimulatedWorld {
+  private final Scenario scenario;
+  private final List<SimulatedNode> nodes = new ArrayList<>();
+  private final List<SimulatedProxy> proxies = new ArrayList<>();
+
+  ClusterMembers(Scenario scenario) {
+    this.scenario = scenario;
+  }
+
+  /** All cache nodes, by number. */
+  public List<SimulatedNode> nodes() {
+    return nodes;
+  }
+
+  /** All proxies, by number. */
+  public List<SimulatedProxy> proxies() {
+    return proxies;
+  }
+
+  /** The proxy with a name like {@code p7}. */
+  public SimulatedProxy proxyNamed(String name) {
+    return proxies.get(numberIn(name));
+  }
+
+  /** The nodes that run and are not leaving. */
+  public Stream<SimulatedNode> stayingNodes() {
+    return nodes.stream().filter(SimulatedNode::isStaying);
+  }
+
+  /** Whether another node may leave for good: more than half of the first ones stay. */
+  public boolean hasSpareNodes() {
+    return stayingNodes().count() > Math.max(1, scenario.nodes() / 2);
+  }
+
+  /** How many times the steady load the remaining nodes can serve. */
+  public double capacityFactor() {
+    double remainingShare = (double) stayingNodes().count() / scenario.nodes();
+    return scenario.capacityFactor() * Math.min(1, remainingShare);
+  }
+
+  @Override
+  public long startedAtNanos(int proxy) {
+    return proxies.get(proxy).startedAtNanos;
+  }
+
+  @Override
+  public long stalledUntilNanos(int proxy) {
+    return proxies.get(proxy).process.stalledUntilNanos();
+  }
+
+  @Override
+  public boolean isDead(int proxy) {
+    return proxies.get(proxy).process.isDead();
+  }
+
+  @Override
+  public boolean isWarmingUp(String target) {
+    return isNode(target) && node(target).cacheNode.cold();
+  }
+
+  @Override
+  public int zone(String target) {
+    return isNode(target) ? node(target).zone() : 0;
+  }
+
+  @Override
+  public int failureDomain(String target) {
+    return isNode(target) ? node(target).failureDomain() : 0;
+  }
+
+  private SimulatedNode node(String name) {
+    return nodes.get(numberIn(name));
+  }
+
+  private static boolean isNode(String name) {
+    return name.startsWith(SimulatedNode.NAME_PREFIX);
+  }
+
+  private static int numberIn(String name) {
+    return Integer.parseInt(name.substring(1));
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/cluster/FakeConnections.java
@@ -0,0 +1,56 @@
+package pathgw.simulation.cluster;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.function.Function;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
+import pathgw.simulation.network.VirtualConnection;
+
+/** Connects the fakes, which do no I/O, to ends of virtual connections. */
+final class FakeConnections {
+  private FakeConnections() {}
+
+  /**
+   * Gives a connection to a fake.
+   *
+   * @param acceptor the fake's side; returns null to refuse the connection
+   * @return whether it was accepted
+   */
+  static boolean attach(
+      VirtualConnection connection, Function<ConnectionSide, ConnectionHandler> acceptor) {
+    ConnectionHandler handler = acceptor.apply(new VirtualSide(connection));
+    if (handler == null) {
+      return false;
+    }
+    connection.onData(handler::came);
+    connection.onClose(reason -> handler.over());
+    return true;
+  }
+
+  /** The name of the proxy at the other end of a connection. */
+  static String proxyName(VirtualConnection connection) {
+    return SimulatedProxy.nameOfHost(connection.there().host());
+  }
+
+  private record VirtualSide(VirtualConnection connection) implements ConnectionSide {
+    @Override
+    public void write(Buffer bytes) {
+      connection.write(bytes);
+    }
+
+    @Override
+    public void close() {
+      connection.close();
+    }
+
+    @Override
+    public void reset() {
+      connection.reset();
+    }
+
+    @Override
+    public boolean unread() {
+      return connection.hasUnreadBytesAtRemote();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/cluster/NodeLifecycle.java
@@ -0,0 +1,268 @@
+package pathgw.simulation.cluster;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pathgw.config.Address;
+import pathgw.fake.DedupMemory;
+import pathgw.fake.FakeCacheNode;
+import pathgw.fake.FakeDiscovery;
+import pathgw.fake.FakeOrigin;
+import pathgw.fake.FaultInjection;
+import pathgw.fake.Request;
+import pathgw.simulation.network.SimulatedTransport;
+import pathgw.simulation.network.VirtualProcess;
+import pathgw.simulation.scenario.Scenario;
+
+/** Starts the cache nodes and the origin behind them, and keeps their copies in step. */
+public final class NodeLifecycle {
+  private static final Address ORIGIN_ADDRESS = new Address("10.3.0.1", 80);
+  private static final String ORIGIN_NAME = "origin";
+  private static final int NODE_PORT = 11211;
+  private static final int NODES_PER_SUBNET = 250;
+  private static final int NANOS_PER_SECOND = 1_000_000_000;
+
+  private static final int NODE_SLOTS = 1;
+  private static final int NODE_QUEUE = 24;
+  private static final int NODE_MAX_COPIES = 4096;
+  private static final double MIN_SERVICE_SECONDS = 0.004;
+  private static final double MAX_SERVICE_SECONDS = 0.06;
+
+  private static final int MIN_ORIGIN_SLOTS = 3;
+
+  /** Origin slots for each request a second of the steady load. */
+  private static final double ORIGIN_SLOTS_PER_RATE = 0.01;
+
+  private static final Duration ORIGIN_SERVICE_TIME = Duration.ofMillis(25);
+  private static final int ORIGIN_QUEUE = 64;
+  private static final int ORIGIN_CONNECTIONS = 200;
+  private static final double ORIGIN_OVERLOAD_FACTOR = 2.5;
+  private static final Duration ORIGIN_DOWN_TIME = Duration.ofSeconds(3);
+
+  /** A node that failed is listed as gone this much later. */
+  private static final long CRASH_LISTED_AFTER_MS = 500;
+
+  private final RunEnvironment environment;
+  private final Scenario scenario;
+  private final SimulatedDiscovery discovery;
+  private final VirtualProcess originProcess;
+  private final FaultInjection originFaults = new FaultInjection();
+  private final FakeOrigin origin;
+  private final FakeCacheNode.Figures nodeFigures;
+  private final Map<String, DedupMemory> dedupMemories = new LinkedHashMap<>();
+  private final Map<String, List<SimulatedNode>> nodesMissing = new LinkedHashMap<>();
+  private int usedAddresses;
+
+  NodeLifecycle(RunEnvironment environment, SimulatedDiscovery discovery) {
+    this.environment = environment;
+    this.discovery = discovery;
+    scenario = environment.scenario();
+    originProcess = environment.fakeProcess(ORIGIN_NAME);
+    origin =
+        new FakeOrigin(
+            ORIGIN_NAME,
+            originProcess,
+            environment.random(ORIGIN_NAME),
+            environment.checker(),
+            originFaults,
+            originFigures(),
+            new NodeCopies());
+    nodeFigures = nodeFigures();
+  }
+
+  private FakeOrigin.Figures originFigures() {
+    double slots = scenario.requestsPerSecond() * ORIGIN_SLOTS_PER_RATE * scenario.capacityFactor();
+    return new FakeOrigin.Figures(
+        Math.max(MIN_ORIGIN_SLOTS, (int) Math.ceil(slots)),
+        ORIGIN_SERVICE_TIME,
+        ORIGIN_QUEUE,
+        ORIGIN_CONNECTIONS,
+        ClusterSettings.CONNECTION_IDLE_LIMIT,
+        ORIGIN_OVERLOAD_FACTOR,
+        ClusterSettings.OVERLOAD_WINDOW,
+        ORIGIN_DOWN_TIME,
+        Duration.ofMillis(scenario.dedupWindowMs()));
+  }
+
+  private FakeCacheNode.Figures nodeFigures() {
+    double servedPerSecond = scenario.capacityFactor() * scenario.requestsPerSecond();
+    double serviceSeconds =
+        Math.max(
+            MIN_SERVICE_SECONDS, Math.min(MAX_SERVICE_SECONDS, scenario.nodes() / servedPerSecond));
+    return new FakeCacheNode.Figures(
+        NODE_SLOTS,
+        Duration.ofNanos((long) (serviceSeconds * NANOS_PER_SECOND)),
+        NODE_QUEUE,
+        scenario.fleet().nodeConnections(),
+        ClusterSettings.CONNECTION_IDLE_LIMIT,
+        ClusterSettings.COLD_CAPACITY_SHARE,
+        ClusterSettings.WARM_UP_TIME,
+        scenario.tippingFactor(),
+        ClusterSettings.OVERLOAD_WINDOW,
+        NODE_MAX_COPIES,
+        scenario.readThrough() ? origin : null);
+  }
+
+  /** What goes wrong with requests at the origin. */
+  public FaultInjection originFaults() {
+    return originFaults;
+  }
+
+  void listenAtOrigin() {
+    environment
+        .network()
+        .listen(
+            ORIGIN_ADDRESS,
+            originProcess,
+            connection ->
+                FakeConnections.attach(
+                    connection,
+                    side -> origin.accept(FakeConnections.proxyName(connection), side)));
+  }
+
+  /** Lists the origin, for proxies that fetch from it themselves. */
+  void publishOrigin() {
+    discovery.publishInitially(
+        new FakeDiscovery.Entry(
+            ORIGIN_NAME,
+            ORIGIN_ADDRESS.toString(),
+            "z0",
+            "origin",
+            0,
+            EndpointHealth.READY.word(),
+            0));
+  }
+
+  /** Adds a node that is warm and has a copy of each key. */
+  void addWarmNode() {
+    SimulatedNode node = newNode();
+    start(node, false);
+    for (int key = 0; key < scenario.keys(); key++) {
+      node.cacheNode.store("k" + key, 0);
+    }
+    discovery.publishInitially(node.entry(EndpointHealth.READY));
+  }
+
+  /** Adds and lists a node that is cold. */
+  public void addColdNode() {
+    SimulatedNode node = newNode();
+    start(node, true);
+    discovery.publish(node, EndpointHealth.READY);
+  }
+
+  private SimulatedNode newNode() {
+    List<SimulatedNode> nodes = environment.members().nodes();
+    SimulatedNode node = new SimulatedNode(nodes.size(), scenario.fleet().zones());
+    nodes.add(node);
+    return node;
+  }
+
+  /** Starts a node that died, cold and at its old address, and lists it. */
+  public void restart(SimulatedNode node) {
+    start(node, true);
+    discovery.publish(node, EndpointHealth.READY);
+  }
+
+  /** Starts a node that died, cold and at a new address, and lists it. */
+  public void restartElsewhere(SimulatedNode node) {
+    node.address = null;
+    restart(node);
+  }
+
+  private void start(SimulatedNode node, boolean cold) {
+    VirtualProcess process = environment.fakeProcess(node.host);
+    node.process = process;
+    if (node.address == null) {
+      node.address = newAddress();
+    }
+    node.startedAtUnixMs = cold ? SimulatedTransport.unixMillis(environment.events()) : 0;
+    node.cacheNode =
+        new FakeCacheNode(
+            node.host,
+            process,
+            environment.random(node.host + usedAddresses),
+            new MissObserver(node),
+            node.faults(),
+            nodeFigures,
+            cold ? process.now() : null,
+            dedupMemory(node),
+            () -> crash(node, process));
+    environment
+        .network()
+        .listen(
+            node.address,
+            process,
+            connection ->
+                FakeConnections.attach(
+                    connection,
+                    side -> node.cacheNode.accept(FakeConnections.proxyName(connection), side)));
+  }
+
+  private Address newAddress() {
+    int subnet = usedAddresses % NODES_PER_SUBNET;
+    int host = 1 + usedAddresses / NODES_PER_SUBNET;
+    usedAddresses++;
+    return new Address("10.1." + subnet + "." + host, NODE_PORT);
+  }
+
+  private DedupMemory dedupMemory(SimulatedNode node) {
+    String group =
+        switch (scenario.dedupScope()) {
+          case "zone" -> "z" + node.zone();
+          case "cell" -> "c" + node.failureDomain();
+          default -> "all";
+        };
+    return dedupMemories.computeIfAbsent(
+        group, first -> new DedupMemory(Duration.ofMillis(scenario.dedupWindowMs())));
+  }
+
+  private void crash(SimulatedNode node, VirtualProcess process) {
+    process.kill();
+    discovery.publishLater(node, EndpointHealth.GONE, CRASH_LISTED_AFTER_MS);
+  }
+
+  /** Notes at which nodes a read missed, so that the origin's response leaves a copy there. */
+  private final class MissObserver extends ForwardingObserver {
+    private final SimulatedNode node;
+
+    MissObserver(SimulatedNode node) {
+      super(environment.checker());
+      this.node = node;
+    }
+
+    @Override
+    public void missed(String target, Request command, boolean cold) {
+      if (!scenario.readThrough()) {
+        nodesMissing.computeIfAbsent(command.id(), id -> new ArrayList<>(1)).add(node);
+      }
+      super.missed(target, command, cold);
+    }
+  }
+
+  /** Stores and drops copies at the nodes as the origin serves reads and writes. */
+  private final class NodeCopies implements FakeOrigin.Copies {
+    @Override
+    public void fetched(Request command, int version) {
+      List<SimulatedNode> missing = nodesMissing.remove(command.id());
+      if (missing == null) {
+        return;
+      }
+      for (SimulatedNode node : missing) {
+        if (!node.process.isDead()) {
+          node.cacheNode.store(command.key(), version);
+        }
+      }
+    }
+
+    @Override
+    public void outdated(String key) {
+      for (SimulatedNode node : environment.members().nodes()) {
+        if (!node.process.isDead()) {
+          node.cacheNode.drop(key);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/cluster/RunEnvironment.java
@@ -0,0 +1,107 @@
+package pathgw.simulation.cluster;
+
+import java.util.Random;
+import java.util.function.Consumer;
+import pathgw.simulation.invariant.InvariantChecker;
+import pathgw.simulation.invariant.InvariantLimits;
+import pathgw.simulation.invariant.Trace;
+import pathgw.simulation.network.EventQueue;
+import pathgw.simulation.network.VirtualNetwork;
+import pathgw.simulation.network.VirtualProcess;
+import pathgw.simulation.scenario.Scenario;
+
+/** What all parts of one run share: scenario, event queue, network, members, trace and checker. */
+public final class RunEnvironment {
+  /** Nanoseconds in a millisecond of scenario time. */
+  public static final long NANOS_PER_MILLI = 1_000_000;
+
+  private static final long SEED_MULTIPLIER = 1_000_003;
+
+  private final Scenario scenario;
+  private final EventQueue events = new EventQueue();
+  private final Trace trace;
+  private final VirtualNetwork network;
+  private final ClusterMembers members;
+  private final InvariantChecker checker;
+
+  RunEnvironment(Scenario scenario, Consumer<String> traceReader) {
+    this.scenario = scenario;
+    trace = new Trace(traceReader);
+    network =
+        new VirtualNetwork(
+            events, random("net"), (process, bytes) -> trace.mix(events.now(), bytes.hashCode()));
+    members = new ClusterMembers(scenario);
+    checker =
+        new InvariantChecker(events::now, trace, members, limits(scenario), scenario.proxies());
+  }
+
+  private static InvariantLimits limits(Scenario scenario) {
+    return new InvariantLimits(
+        ClusterSettings.RESPONSE_SLACK.toNanos(),
+        ClusterSettings.DRAIN_GRACE.toNanos(),
+        ClusterSettings.MAX_ATTEMPTS,
+        scenario.dedupScope(),
+        scenario.dedupWindowMs() * NANOS_PER_MILLI,
+        scenario.maxDescriptors());
+  }
+
+  /** What this run plays. */
+  public Scenario scenario() {
+    return scenario;
+  }
+
+  /** The pending events and the virtual clock. */
+  public EventQueue events() {
+    return events;
+  }
+
+  /** The virtual network. */
+  public VirtualNetwork network() {
+    return network;
+  }
+
+  /** The nodes and proxies. */
+  public ClusterMembers members() {
+    return members;
+  }
+
+  /** The digest and text of the run. */
+  public Trace trace() {
+    return trace;
+  }
+
+  /** Who judges the run. */
+  public InvariantChecker checker() {
+    return checker;
+  }
+
+  /** Virtual nanoseconds since the run began. */
+  public long now() {
+    return events.now();
+  }
+
+  /** Schedules an action of the world, not of a process, after a delay. */
+  public void afterMillis(long delayMs, Runnable action) {
+    afterNanos(delayMs * NANOS_PER_MILLI, action);
+  }
+
+  /** Schedules an action of the world, not of a process, after a delay. */
+  public void afterNanos(long delayNanos, Runnable action) {
+    events.in(delayNanos, null, action);
+  }
+
+  /** A generator of its own for one part of the run, so that parts do not disturb each other. */
+  Random random(String part) {
+    return new Random(scenario.seed() * SEED_MULTIPLIER + part.hashCode());
+  }
+
+  /** A process of a fake; an exception in it is a bug of the simulation and ends the run. */
+  VirtualProcess fakeProcess(String name) {
+    return new VirtualProcess(
+        name,
+        events,
+        exception -> {
+          throw exception;
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/network/VirtualConnection.java
@@ -0,0 +1,273 @@
+package pathgw.simulation.network;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+import pathgw.config.Address;
+import pathgw.transport.Connection;
+
+/**
+ * One end of a connection between two processes.
+ *
+ * <p>Bytes arrive in order, after a delay and split anywhere, or not at all if the connection is
+ * reset or a machine is cut off.
+ */
+public final class VirtualConnection implements Connection {
+  /** Bytes that the two machines buffer for a reader that does not read. */
+  private static final int WINDOW_BYTES = 1 << 18;
+
+  /** From this many unread bytes on the writer is told that the connection is full. */
+  private static final int FULL_BYTES = 1 << 16;
+
+  private final VirtualNetwork network;
+  private final VirtualProcess owner;
+  private final Address localAddress;
+  private final Address remoteAddress;
+  private final ArrayDeque<Buffer> unreadBuffers = new ArrayDeque<>();
+  private final ArrayDeque<Promise<Void>> pendingWrites = new ArrayDeque<>();
+  private VirtualConnection remoteEnd;
+  private Consumer<Buffer> dataHandler;
+  private Consumer<Buffer> writeObserver = bytes -> {};
+  private Consumer<CloseReason> closeHandler = reason -> {};
+  private Runnable writableHandler = () -> {};
+  private boolean paused;
+  private boolean closed;
+  private boolean closeNotified;
+  private boolean outputShutDown;
+  private CloseReason closeReason = CloseReason.END_OF_STREAM;
+
+  /** What arrives later than this is lost; what the machine has already can still be read. */
+  private long lostAfterNanos = Long.MAX_VALUE;
+
+  private boolean wasFull;
+
+  /** Bytes written here that the remote end has not read. */
+  private long unreadByRemote;
+
+  private long lastArrivalNanos;
+
+  VirtualConnection(
+      VirtualNetwork network, VirtualProcess owner, Address localAddress, Address remoteAddress) {
+    this.network = network;
+    this.owner = owner;
+    this.localAddress = localAddress;
+    this.remoteAddress = remoteAddress;
+    owner.opened(this);
+  }
+
+  static void join(VirtualConnection first, VirtualConnection second) {
+    first.remoteEnd = second;
+    second.remoteEnd = first;
+  }
+
+  /** The process at the remote end. */
+  public VirtualProcess remoteOwner() {
+    return remoteEnd.owner;
+  }
+
+  /** Nothing that is sent here arrives before then, since the connection is not up earlier. */
+  void delayArrivalsUntil(long untilNanos) {
+    lastArrivalNanos = Math.max(lastArrivalNanos, untilNanos);
+  }
+
+  /** Sets who sees the bytes that are written here, when they are written. */
+  public void observeWrites(Consumer<Buffer> observer) {
+    writeObserver = observer;
+  }
+
+  /** Whether the remote end has not read all that was written here. */
+  public boolean hasUnreadBytesAtRemote() {
+    return unreadByRemote > 0;
+  }
+
+  @Override
+  public void onData(Consumer<Buffer> handler) {
+    dataHandler = handler;
+    if (!unreadBuffers.isEmpty()) {
+      network.runSoon(owner, this::deliverUnread);
+    }
+  }
+
+  @Override
+  public void onClose(Consumer<CloseReason> handler) {
+    closeHandler = handler;
+  }
+
+  @Override
+  public void onWritable(Runnable handler) {
+    writableHandler = handler;
+  }
+
+  @Override
+  public Future<Void> write(Buffer original) {
+    if (closed) {
+      return Future.failedFuture(new IOException("closed"));
+    }
+    Buffer bytes = original.copy();
+    if (network.resetsDuringWriteTo(remoteEnd.owner)) {
+      Buffer half = bytes.slice(0, bytes.length() / 2).copy();
+      writeObserver.accept(half);
+      send(half);
+      reset();
+      return Future.failedFuture(new IOException("reset"));
+    }
+    writeObserver.accept(bytes);
+    send(bytes);
+    if (unreadByRemote <= WINDOW_BYTES) {
+      return Future.succeededFuture();
+    }
+    Promise<Void> written = Promise.promise();
+    pendingWrites.add(written);
+    return written.future();
+  }
+
+  private void send(Buffer bytes) {
+    if (bytes.length() == 0) {
+      return;
+    }
+    unreadByRemote += bytes.length();
+    wasFull |= full();
+    int split = network.splitPosition(bytes.length());
+    if (split > 0) {
+      sendPiece(bytes.slice(0, split).copy());
+      sendPiece(bytes.slice(split, bytes.length()).copy());
+    } else {
+      sendPiece(bytes);
+    }
+  }
+
+  private void sendPiece(Buffer bytes) {
+    lastArrivalNanos = Math.max(lastArrivalNanos, network.arrivalNanos());
+    long arrivalNanos = lastArrivalNanos;
+    network.runAt(arrivalNanos, remoteEnd.owner, () -> remoteEnd.arrived(bytes, arrivalNanos));
+  }
+
+  private void arrived(Buffer bytes, long arrivalNanos) {
+    if (closed || arrivalNanos > lostAfterNanos || owner.isCutOff() || remoteEnd.owner.isCutOff()) {
+      return;
+    }
+    network.observeArrival(owner, bytes);
+    unreadBuffers.add(bytes);
+    deliverUnread();
+  }
+
+  private void deliverUnread() {
+    while (!paused && !closed && dataHandler != null && !unreadBuffers.isEmpty()) {
+      Buffer bytes = unreadBuffers.poll();
+      // After a shutdown of this side's output, bytes that cross it are drained but not accepted.
+      if (!outputShutDown) {
+        remoteEnd.acknowledgeRead(bytes.length());
+      }
+      dataHandler.accept(bytes);
+    }
+  }
+
+  private void acknowledgeRead(int length) {
+    unreadByRemote -= length;
+    while (unreadByRemote <= WINDOW_BYTES && !pendingWrites.isEmpty()) {
+      Promise<Void> written = pendingWrites.poll();
+      network.runSoon(owner, written::complete);
+    }
+    if (wasFull && unreadByRemote <= FULL_BYTES / 2) {
+      wasFull = false;
+      network.runSoon(owner, () -> writableHandler.run());
+    }
+  }
+
+  @Override
+  public boolean full() {
+    return unreadByRemote >= FULL_BYTES;
+  }
+
+  @Override
+  public void pause() {
+    paused = true;
+  }
+
+  @Override
+  public void resume() {
+    if (paused) {
+      paused = false;
+      network.runSoon(owner, this::deliverUnread);
+    }
+  }
+
+  /** If bytes lie unread here, the remote end sees a reset and loses what is in flight to it. */
+  @Override
+  public void close() {
+    if (!closed) {
+      boolean resets = !unreadBuffers.isEmpty();
+      closeLocally();
+      if (resets) {
+        remoteEnd.breakNow();
+      }
+      notifyRemoteOfEnd();
+    }
+  }
+
+  @Override
+  public void shutdownOutput() {
+    outputShutDown = true;
+    notifyRemoteOfEnd();
+  }
+
+  /** Breaks the connection; each end learns of it in its time, and bytes in flight are lost. */
+  public void reset() {
+    if (!closed) {
+      closeLocally();
+      lostAfterNanos = network.now();
+      remoteEnd.breakNow();
+      notifyRemoteOfEnd();
+    }
+  }
+
+  private void breakNow() {
+    lostAfterNanos = network.now();
+    closeReason = CloseReason.BROKEN;
+  }
+
+  private void closeLocally() {
+    closed = true;
+    closeReason = CloseReason.BROKEN;
+    owner.closed(this);
+    network.runSoon(owner, this::notifyClosed);
+  }
+
+  private void notifyRemoteOfEnd() {
+    long arrivalNanos = Math.max(lastArrivalNanos, network.arrivalNanos());
+    network.runAt(arrivalNanos, remoteEnd.owner, remoteEnd::remoteEnded);
+  }
+
+  /** The remote end has ended the connection; a machine that is cut off does not learn of it. */
+  private void remoteEnded() {
+    if (!remoteEnd.owner.isCutOff() && !owner.isCutOff()) {
+      notifyClosed();
+    }
+  }
+
+  private void notifyClosed() {
+    if (closeNotified) {
+      return;
+    }
+    closeNotified = true;
+    closed = true;
+    owner.closed(this);
+    while (!pendingWrites.isEmpty()) {
+      pendingWrites.poll().fail(new IOException("closed"));
+    }
+    closeHandler.accept(closeReason);
+  }
+
+  @Override
+  public Address here() {
+    return localAddress;
+  }
+
+  @Override
+  public Address there() {
+    return remoteAddress;
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/network/VirtualProcess.java
@@ -0,0 +1,127 @@
+package pathgw.simulation.network;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import pathgw.fake.Clock;
+
+/** One process of the virtual world, from its start to its end; it handles one event at a time. */
+public final class VirtualProcess implements Clock {
+  private final String name;
+  private final EventQueue events;
+  private final Consumer<RuntimeException> exceptionHandler;
+  private final Set<VirtualConnection> connections = new LinkedHashSet<>();
+  private final ArrayDeque<EventQueue.Event> backlog = new ArrayDeque<>();
+  private long stalledUntilNanos;
+  private boolean dead;
+  private boolean cutOff;
+
+  /**
+   * Starts a process.
+   *
+   * @param exceptionHandler receives what one of its event handlers threw
+   */
+  public VirtualProcess(
+      String name, EventQueue events, Consumer<RuntimeException> exceptionHandler) {
+    this.name = name;
+    this.events = events;
+    this.exceptionHandler = exceptionHandler;
+  }
+
+  /** The name, such as {@code p3} for a proxy or {@code n12} for a cache node. */
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public Duration now() {
+    return Duration.ofNanos(events.now());
+  }
+
+  @Override
+  public void in(Duration delay, Runnable action) {
+    events.in(delay.toNanos(), this, action);
+  }
+
+  void opened(VirtualConnection connection) {
+    connections.add(connection);
+  }
+
+  void closed(VirtualConnection connection) {
+    connections.remove(connection);
+  }
+
+  /** Handles an event now, or after the current stall, or never if the process is dead. */
+  void handle(EventQueue.Event event) {
+    if (dead) {
+      return;
+    }
+    if (events.now() < stalledUntilNanos || !backlog.isEmpty()) {
+      backlog.add(event);
+      return;
+    }
+    run(event);
+  }
+
+  private void run(EventQueue.Event event) {
+    try {
+      event.run();
+    } catch (RuntimeException e) {
+      exceptionHandler.accept(e);
+    }
+  }
+
+  /** Handles nothing until then; events that come meanwhile wait in their order. */
+  public void stallUntil(long untilNanos) {
+    stalledUntilNanos = Math.max(stalledUntilNanos, untilNanos);
+    events.at(stalledUntilNanos, null, this::handleBacklog);
+  }
+
+  private void handleBacklog() {
+    while (!dead && events.now() >= stalledUntilNanos && !backlog.isEmpty()) {
+      run(backlog.poll());
+    }
+  }
+
+  /** The end of the last stall, which may be to come; 0 if it never stalled. */
+  public long stalledUntilNanos() {
+    return stalledUntilNanos;
+  }
+
+  /** Whether the process has ended. */
+  public boolean isDead() {
+    return dead;
+  }
+
+  /** Whether its machine is cut off from the network. */
+  public boolean isCutOff() {
+    return cutOff;
+  }
+
+  /** Ends the process; its machine resets the connections. */
+  public void kill() {
+    dead = true;
+    backlog.clear();
+    resetConnections();
+  }
+
+  /** Cuts the machine off: nothing arrives or leaves, and nobody learns of it. */
+  public void cutOff() {
+    cutOff = true;
+  }
+
+  /** Connects the machine again; its old connections are reset. */
+  public void reconnect() {
+    if (cutOff) {
+      cutOff = false;
+      resetConnections();
+    }
+  }
+
+  private void resetConnections() {
+    List.copyOf(connections).forEach(VirtualConnection::reset);
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/scenario/Fault.java
@@ -0,0 +1,220 @@
+package pathgw.simulation.scenario;
+
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One fault of a run.
+ *
+ * @param atMs when it begins, in milliseconds since the run began
+ * @param forMs how long it lasts in milliseconds; 0 for good
+ * @param kind what goes wrong
+ * @param target the number of a node or proxy, modulo how many there are; -1 if the kind has none
+ * @param by how strong it is, in the measure of its kind
+ */
+public record Fault(long atMs, long forMs, Kind kind, int target, double by)
+    implements Comparable<Fault> {
+  /** The target of faults that concern no single node or proxy. */
+  public static final int NO_TARGET = -1;
+
+  /** What a kind of fault concerns. */
+  public enum Scope {
+    /** One cache node. */
+    NODE,
+    /** One proxy. */
+    PROXY,
+    /** Everything else: discovery, origin, gossip, clients, or many processes at once. */
+    WORLD
+  }
+
+  /** Every kind of fault; the names, in lower case, are the words of the scenario text. */
+  public enum Kind {
+    /** The process ends; when it starts again, it is cold. */
+    DIES(Scope.NODE, false),
+    /** As before, but it comes back at another address. */
+    MOVES(Scope.NODE, false),
+    /** It stalls: accepts everything, answers nothing, and continues later. */
+    FREEZES(Scope.NODE, false),
+    /** The machine is cut off: silence, then resets. */
+    VANISHES(Scope.NODE, false),
+    /** Work takes this many times as long. */
+    SLOW(Scope.NODE, true),
+    /** A draining node: listed as such, then it refuses new requests, then it ends. */
+    DRAINS(Scope.NODE, false),
+    /** All its copies are lost. */
+    FLUSHED(Scope.NODE, false),
+    /** Connections to it come up as much as this many milliseconds late. */
+    CONNECTS_LATE(Scope.NODE, true),
+    /** This share of writes to it is cut off before the last byte. */
+    CUTS(Scope.NODE, true),
+    /** Connections are reset once the command has arrived. */
+    RESETS(Scope.NODE, true),
+    /** Connections are closed under a command, which does not run. */
+    CLOSES(Scope.NODE, true),
+    /** Responses are invalid. */
+    SPOILS(Scope.NODE, true),
+    /** Responses have more bytes behind them. */
+    BABBLES(Scope.NODE, true),
+    /** Errors after the request ran. */
+    FAILS(Scope.NODE, true),
+    /** Requests are rejected. */
+    BUSY(Scope.NODE, true),
+    /** A new cold node is added. */
+    GROWS(Scope.WORLD, false),
+    /** This share of the nodes is replaced by new ones, one after another. */
+    DEPLOY(Scope.WORLD, true),
+    /** Work at the origin takes this many times as long. */
+    ORIGIN_SLOW(Scope.WORLD, true),
+    /** This share of the origin's requests ends in an error. */
+    ORIGIN_FAILS(Scope.WORLD, true),
+    /** This share of the origin's responses is invalid. */
+    ORIGIN_SPOILS(Scope.WORLD, true),
+    /** This share of the origin's connections is reset under a request. */
+    ORIGIN_RESETS(Scope.WORLD, true),
+    /** Watch events come as much as this many milliseconds late. */
+    LIST_LATE(Scope.WORLD, true),
+    /** Discovery is down: watches end, calls fail. */
+    LIST_DOWN(Scope.WORLD, false),
+    /** This share of the discovery calls is rejected. */
+    LIST_REFUSES(Scope.WORLD, true),
+    /** All watches end once. */
+    LIST_ENDS(Scope.WORLD, false),
+    /** This share of the gossip datagrams is lost. */
+    PEERS_LOSE(Scope.WORLD, true),
+    /** Gossip datagrams come as much as this many milliseconds late. */
+    PEERS_LATE(Scope.WORLD, true),
+    /** Killed, and started again with the last endpoint list that it had. */
+    KILLED(Scope.PROXY, false),
+    /** Graceful shutdown (SIGTERM), then started again. */
+    STOPPED(Scope.PROXY, false),
+    /** Its event loop stalls. */
+    STANDS_STILL(Scope.PROXY, false),
+    /** SIGHUP to all proxies: discovery has moved to another address. */
+    HANGUP(Scope.WORLD, false),
+    /** This many times as many requests. */
+    BURST(Scope.WORLD, true),
+    /** This share of the requests is for one key. */
+    HOT(Scope.WORLD, true),
+    /** One tenant sends this many times as much. */
+    GREED(Scope.WORLD, true),
+    /** This share of the clients leaves before the response. */
+    LEAVE(Scope.WORLD, true),
+    /** This share of the proxies is killed at once, and started again with its last list. */
+    RESTART(Scope.WORLD, true),
+    /** All nodes of the zone of this number die at once and come back cold. */
+    ZONE_LOST(Scope.WORLD, true),
+    /** The machines of the zone of this number are cut off. */
+    ZONE_SILENT(Scope.WORLD, true),
+    /** This share of the open watches falls silent without an end. */
+    LIST_SILENT(Scope.WORLD, true),
+    /** This share of the nodes is listed as draining within a second, and continues to serve. */
+    LIST_DRAINS(Scope.WORLD, true);
+
+    /** This many kinds, the first ones, concern any cluster; the others are for large fleets. */
+    @SuppressWarnings("EnumOrdinal") // The order of the constants is what is meant.
+    public static final int ANY_FLEET = LEAVE.ordinal() + 1;
+
+    private final Scope scope;
+    private final boolean measured;
+
+    Kind(Scope scope, boolean measured) {
+      this.scope = scope;
+      this.measured = measured;
+    }
+
+    /** What this kind concerns. */
+    public Scope scope() {
+      return scope;
+    }
+
+    /** Whether a fault of this kind says how strong it is. */
+    public boolean isMeasured() {
+      return measured;
+    }
+
+    /** The word of the scenario text. */
+    public String word() {
+      return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** The word for the fault's target, such as {@code node}; null if it has none. */
+    private String targetWord() {
+      return scope == Scope.WORLD ? null : scope.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static Kind ofWord(String word) {
+      for (Kind kind : values()) {
+        if (kind.word().equals(word)) {
+          return kind;
+        }
+      }
+      throw new IllegalArgumentException("'" + word + "' is no known trouble");
+    }
+  }
+
+  private static final Pattern FORM =
+      Pattern.compile(
+          "at (?<at>\\d{1,7})ms(?: for (?<for>\\d{1,7})ms)? (?<kind>[a-z-]+)"
+              + "(?: (?<scope>node|proxy) (?<target>\\d{1,4}))?(?: by (?<by>[0-9.]{1,12}))?");
+
+  /** Whether the fault is never mended. */
+  public boolean isPermanent() {
+    return forMs == 0;
+  }
+
+  /** The line of the scenario text. */
+  @Override
+  public String toString() {
+    String duration = isPermanent() ? "" : " for " + forMs + "ms";
+    String whom = kind.targetWord() == null ? "" : " " + kind.targetWord() + " " + target;
+    String measure = kind.measured ? " by " + by : "";
+    return "at " + atMs + "ms" + duration + " " + kind.word() + whom + measure;
+  }
+
+  /**
+   * Reads a line of the form that {@link #toString()} gives.
+   *
+   * @throws IllegalArgumentException if it has another form; the message says what is wrong
+   */
+  static Fault parse(String line) {
+    Matcher matcher = FORM.matcher(line);
+    if (!matcher.matches()) {
+      throw new IllegalArgumentException("not of the form 'at 100ms for 2000ms slow node 3 by 4'");
+    }
+    Kind kind = Kind.ofWord(matcher.group("kind"));
+    checkTarget(kind, matcher.group("scope"));
+    checkMeasure(kind, matcher.group("by"));
+    String duration = matcher.group("for");
+    return new Fault(
+        Long.parseLong(matcher.group("at")),
+        duration == null ? 0 : Long.parseLong(duration),
+        kind,
+        kind.targetWord() == null ? NO_TARGET : Integer.parseInt(matcher.group("target")),
+        kind.measured ? Double.parseDouble(matcher.group("by")) : 0);
+  }
+
+  private static void checkTarget(Kind kind, String scopeWord) {
+    String expected = kind.targetWord();
+    if (expected == null && scopeWord != null) {
+      throw new IllegalArgumentException("'" + kind.word() + "' befalls no single node or proxy");
+    }
+    if (expected != null && !expected.equals(scopeWord)) {
+      throw new IllegalArgumentException("'" + kind.word() + "' needs '" + expected + " N'");
+    }
+  }
+
+  private static void checkMeasure(Kind kind, String measure) {
+    if (kind.measured && measure == null) {
+      throw new IllegalArgumentException("'" + kind.word() + "' needs 'by X'");
+    }
+    if (!kind.measured && measure != null) {
+      throw new IllegalArgumentException("'" + kind.word() + "' has no measure");
+    }
+  }
+
+  @Override
+  public int compareTo(Fault other) {
+    return Long.compare(atMs, other.atMs);
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/scenario/ScenarioFormat.java
@@ -0,0 +1,90 @@
+package pathgw.simulation.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import pathgw.config.InvalidInputException;
+
+/**
+ * The text of a scenario: one figure, choice or fault a line.
+ *
+ * <p>What no line says is as in {@link Scenario#DEFAULTS}; blank lines and what follows a {@code #}
+ * are ignored.
+ */
+final class ScenarioFormat {
+  private static final String MODE = "mode";
+  private static final String GROUP = "group";
+  private static final String FAULT_PREFIX = "at ";
+
+  private ScenarioFormat() {}
+
+  /** Writes a scenario. */
+  static String write(Scenario scenario) {
+    StringBuilder text = new StringBuilder();
+    for (Figure figure : Figure.values()) {
+      double value = figure.of(scenario);
+      if (figure == Figure.SEED || value != figure.of(Scenario.DEFAULTS)) {
+        text.append(figure.line(value));
+      }
+      if (figure == Figure.NODES) {
+        writeChoices(text, scenario);
+      }
+    }
+    scenario.faults().forEach(fault -> text.append(fault).append('\n'));
+    return text.toString();
+  }
+
+  private static void writeChoices(StringBuilder text, Scenario scenario) {
+    if (scenario.readThrough()) {
+      text.append(MODE + " " + Scenario.READ_THROUGH + "\n");
+    }
+    if (!scenario.dedupScope().equals(Scenario.DEFAULTS.dedupScope())) {
+      text.append(GROUP + " ").append(scenario.dedupScope()).append('\n');
+    }
+  }
+
+  /**
+   * Reads a scenario.
+   *
+   * @throws InvalidInputException if a line cannot be read; the message names the line
+   */
+  static Scenario parse(String text) {
+    Scenario scenario = Scenario.DEFAULTS;
+    List<Fault> faults = new ArrayList<>();
+    int lineNumber = 0;
+    for (String line : text.split("\n", -1)) {
+      lineNumber++;
+      String content = line.replaceFirst("#.*", "").trim();
+      try {
+        if (content.startsWith(FAULT_PREFIX)) {
+          faults.add(Fault.parse(content));
+        } else if (!content.isEmpty()) {
+          scenario = parseLine(scenario, content.split(" +"));
+        }
+      } catch (IllegalArgumentException e) {
+        throw new InvalidInputException("line " + lineNumber + ": " + e.getMessage());
+      }
+    }
+    return scenario.withFaults(faults);
+  }
+
+  private static Scenario parseLine(Scenario scenario, String[] words) {
+    if (words.length != 2) {
+      throw new IllegalArgumentException("not one word and its value");
+    }
+    return switch (words[0]) {
+      case MODE -> scenario.withMode(oneOf(words[1], Scenario.LOOK_ASIDE, Scenario.READ_THROUGH));
+      case GROUP -> scenario.withDedupScope(oneOf(words[1], "all", "zone", "cell"));
+      default -> {
+        Figure figure = Figure.ofWord(words[0]);
+        yield scenario.with(figure, figure.parse(words[1]));
+      }
+    };
+  }
+
+  private static String oneOf(String word, String... choices) {
+    if (!List.of(choices).contains(word)) {
+      throw new IllegalArgumentException("'" + word + "' is none of " + String.join(", ", choices));
+    }
+    return word;
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/simulation/scenario/ScenarioGenerator.java
@@ -0,0 +1,225 @@
+package pathgw.simulation.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import pathgw.simulation.scenario.Fault.Kind;
+import pathgw.simulation.scenario.Scenario.Fleet;
+
+/**
+ * Draws a whole scenario from a seed: the shape of the cluster, and faults that come alone,
+ * together and one over the other.
+ *
+ * <p>The draws and their order are fixed, so that a seed stands for the same scenario for ever.
+ */
+public final class ScenarioGenerator {
+  private static final long DURATION_MS = 20_000;
+
+  /** Faults end by then, so that the run shows whether service recovers. */
+  private static final long FAULTS_END_MS = 11_000;
+
+  private static final int MAX_CONCURRENT_FAULTS = 4;
+
+  /** One large fleet in so many has all its watches silent. */
+  private static final int SILENT_WATCHES_ONE_IN = 4;
+
+  private final Random random;
+
+  private ScenarioGenerator(long seed) {
+    random = new Random(seed * 0x9E3779B97F4A7C15L + 1);
+  }
+
+  /** A cluster of a few proxies and nodes under faults of any kind. */
+  public static Scenario scenario(long seed) {
+    return new ScenarioGenerator(seed).smallCluster().with(Figure.SEED, seed);
+  }
+
+  private Scenario smallCluster() {
+    int proxies = 2 + random.nextInt(1 + random.nextInt(7));
+    int nodes = 4 + random.nextInt(1 + random.nextInt(37));
+    String[] dedupScopes = {"all", "all", "zone", "cell"};
+    boolean readThrough = random.nextInt(3) == 0;
+    double invalidClients = random.nextInt(3) == 0 ? 2 : 0;
+    int warmUpRounds = random.nextInt(16) == 0 ? 6 : random.nextInt(4) == 0 ? 1 : 0;
+    // Few nodes under many requests: only there can a cold node be overloaded.
+    boolean dense = random.nextInt(4) == 0;
+    nodes = dense ? 3 + nodes / 8 : nodes;
+    double rate = dense ? 60 + random.nextInt(80) : 10 + 8 * proxies + random.nextInt(40);
+    Scenario shape =
+        new Scenario(
+            0,
+            DURATION_MS,
+            proxies,
+            nodes,
+            readThrough,
+            dedupScopes[random.nextInt(4)],
+            100 + 100 * random.nextInt(10),
+            rate,
+            20 << random.nextInt(6),
+            random.nextInt(3) / 2.0,
+            invalidClients,
+            warmUpRounds,
+            (3 + random.nextInt(6)) / 2.0,
+            (3 + random.nextInt(4)) / 2.0,
+            random.nextInt(3) == 0 ? 160 + random.nextInt(100) : 1024,
+            random.nextInt(3) == 0 ? 0.5 : 0,
+            Scenario.DEFAULTS.fleet(),
+            List.of());
+    List<Fault> faults = new ArrayList<>();
+    int episodes = 1 + random.nextInt(5);
+    for (int i = 0; i < episodes; i++) {
+      long at = 1000L + random.nextInt(8000);
+      int concurrent = 1 + random.nextInt(MAX_CONCURRENT_FAULTS);
+      for (int j = 0; j < concurrent; j++) {
+        faults.add(anyFault(at + random.nextInt(500), shape));
+      }
+    }
+    return shape.withFaults(faults);
+  }
+
+  /** Up to 100 proxies that see some tens of requests a second at most, over up to 200 nodes. */
+  public static Scenario fleet(long seed) {
+    ScenarioGenerator generator = new ScenarioGenerator(seed);
+    Scenario drawn =
+        seed % SILENT_WATCHES_ONE_IN == SILENT_WATCHES_ONE_IN - 1
+            ? generator.fleetWithSilentWatches()
+            : generator.largeFleet();
+    return drawn.with(Figure.SEED, seed);
+  }
+
+  /**
+   * All watches fall silent within the first seconds, and right after a quarter of the nodes starts
+   * to drain while it continues to serve. Discovery cannot answer the polls of all proxies before
+   * they count as notified.
+   */
+  private Scenario fleetWithSilentWatches() {
+    int proxies = 80 + random.nextInt(41);
+    int nodes = 100 + random.nextInt(201);
+    Scenario shape =
+        new Scenario(
+            0,
+            DURATION_MS,
+            proxies,
+            nodes,
+            false,
+            "all",
+            200,
+            proxies * (4 + random.nextInt(6)),
+            10 * nodes,
+            0.7 + random.nextInt(3) / 10.0,
+            0,
+            0,
+            2 + random.nextInt(3) / 2.0,
+            3,
+            512,
+            0,
+            new Fleet(
+                2 + random.nextInt(4),
+                0.5,
+                30 + random.nextInt(30),
+                proxies / (5.0 + random.nextInt(4))),
+            List.of());
+    long at = 1000L + random.nextInt(8000);
+    List<Fault> faults = new ArrayList<>();
+    faults.add(new Fault(at, 0, Kind.LIST_SILENT, Fault.NO_TARGET, 1));
+    faults.add(
+        new Fault(at + 100 + random.nextInt(1500), 0, Kind.LIST_DRAINS, Fault.NO_TARGET, 0.25));
+    if (random.nextBoolean()) {
+      faults.add(new Fault(at + 4000, 0, Kind.LIST_DRAINS, Fault.NO_TARGET, 0.1));
+    }
+    if (random.nextBoolean()) {
+      faults.add(new Fault(at + 1000, 2000, Kind.LIST_REFUSES, Fault.NO_TARGET, 0.3));
+    }
+    return shape.withFaults(faults);
+  }
+
+  private Scenario largeFleet() {
+    int proxies = 60 + random.nextInt(41);
+    int nodes = 80 + random.nextInt(121);
+    int zones = 2 + random.nextInt(4);
+    Scenario shape =
+        new Scenario(
+            0,
+            DURATION_MS,
+            proxies,
+            nodes,
+            false,
+            "all",
+            200,
+            proxies * (3 + random.nextInt(6)),
+            10 * nodes,
+            0.7 + random.nextInt(3) / 10.0,
+            0,
+            0,
+            2 + random.nextInt(3) / 2.0,
+            3,
+            512,
+            0,
+            new Fleet(
+                zones, 0.3 + random.nextInt(6) / 10.0, 16 + random.nextInt(25), proxies / 6.0),
+            List.of());
+    long at = 1000L + random.nextInt(2000);
+    List<Fault> faults = new ArrayList<>();
+    // Each of these alone would be a large incident; here two coincide, with smaller faults.
+    for (int i = 0; i < 2; i++) {
+      long durationMs = 3000L + random.nextInt(4000);
+      faults.add(
+          switch (random.nextInt(6)) {
+            case 0 -> massRestart(at, faults);
+            case 1 -> new Fault(at, 5000, Kind.ZONE_LOST, Fault.NO_TARGET, random.nextInt(zones));
+            case 2 -> new Fault(at, 5000, Kind.ZONE_SILENT, Fault.NO_TARGET, random.nextInt(zones));
+            case 3 -> new Fault(at, 7000, Kind.DEPLOY, Fault.NO_TARGET, 0.6);
+            case 4 -> new Fault(at + 1000, 0, Kind.LIST_SILENT, Fault.NO_TARGET, 0.4);
+            default ->
+                new Fault(at, durationMs, Kind.GREED, Fault.NO_TARGET, 3 + random.nextInt(5));
+          });
+      at += random.nextInt(2000);
+    }
+    for (int i = 0; i < 6; i++) {
+      faults.add(anyFault(1000 + random.nextInt(6000), shape));
+    }
+    return shape.withFaults(faults);
+  }
+
+  /** Many proxies restart during a release, half of the times with discovery down as well. */
+  private Fault massRestart(long at, List<Fault> faults) {
+    if (random.nextBoolean()) {
+      faults.add(new Fault(at, 5000, Kind.LIST_DOWN, Fault.NO_TARGET, 0));
+      faults.add(new Fault(at + 3000, 7000, Kind.DEPLOY, Fault.NO_TARGET, 0.5));
+    }
+    return new Fault(at + 3500, 500 + random.nextInt(2500), Kind.RESTART, Fault.NO_TARGET, 0.7);
+  }
+
+  private Fault anyFault(long at, Scenario shape) {
+    Kind kind = Kind.values()[random.nextInt(Kind.ANY_FLEET)];
+    int target =
+        switch (kind.scope()) {
+          case NODE -> random.nextInt(shape.nodes());
+          case PROXY -> random.nextInt(shape.proxies());
+          case WORLD -> Fault.NO_TARGET;
+        };
+    long durationMs = Math.min(200 + random.nextInt(3000), FAULTS_END_MS - at);
+    double by =
+        switch (kind) {
+          case SLOW, ORIGIN_SLOW -> 2 + random.nextInt(12);
+          case BURST -> 2 + random.nextInt(4);
+          case GREED -> 3 + random.nextInt(8);
+          case CONNECTS_LATE -> 20 + random.nextInt(120);
+          case LIST_LATE, PEERS_LATE -> 50 + random.nextInt(3000);
+          case DEPLOY -> (3 + random.nextInt(7)) / 10.0;
+          default -> kind.isMeasured() ? (1 + random.nextInt(10)) / 10.0 : 0;
+        };
+    return new Fault(
+        at,
+        switch (kind) {
+          // A loop that stalls for longer has missed all deadlines, like a proxy that died.
+          case STANDS_STILL -> 20 + random.nextInt(600);
+          case DIES, MOVES -> random.nextInt(5) == 0 ? 0 : durationMs;
+          case DRAINS, FLUSHED, GROWS, LIST_ENDS, HANGUP -> 0;
+          default -> durationMs;
+        },
+        kind,
+        target,
+        by);
+  }
+}
--- a/src/test/java/pathgw/simulation/SeededBugTest.java
+++ b/src/test/java/pathgw/simulation/SeededBugTest.java
@@ -15,6 +15,10 @@
 import java.util.function.LongFunction;
 import org.junit.jupiter.api.Test;
 import pathgw.config.Address;
+import pathgw.simulation.cluster.Mutation;
+import pathgw.simulation.scenario.Fault;
+import pathgw.simulation.scenario.Scenario;
+import pathgw.simulation.scenario.ScenarioGenerator;
 import pathgw.transport.Connection;
 import pathgw.transport.Transport;
 
@@ -76,17 +80,16 @@
         rule + " " + kind,
         failed.violation().rule() + " " + failed.violation().kind(),
         failed.violation().toString());
-    String shrunk =
-        ScenarioShrinker.shrink(s -> ScenarioRun.play(s, mutation, null), failed).toString();
+    String shrunk = ScenarioShrinker.shrink(failed, mutation).toString();
     System.out.println(
         "planted " + kind + ": seed " + (seed - 1) + ", " + shrunk.lines().count() + " lines");
     assertTrue(shrunk.lines().count() <= MOST_LINES, shrunk);
-    RunResult again = ScenarioRun.play(Scenario.read(shrunk), mutation, null);
+    RunResult again = ScenarioRun.play(Scenario.parse(shrunk), mutation, null);
     assertTrue(
         failed.violation().isSameKindAs(again.violation()), "the script replays it: " + shrunk);
     assertEquals(
         null,
-        ScenarioRun.play(Scenario.read(shrunk), Mutation.NONE, null).violation(),
+        ScenarioRun.play(Scenario.parse(shrunk), Mutation.NONE, null).violation(),
         "without it all is kept");
   }
 
@@ -140,7 +143,7 @@
           List<Fault> faults = new ArrayList<>(drawn.faults());
           faults.add(new Fault(2000, 0, Fault.Kind.LIST_SILENT, -1, 1));
           faults.add(new Fault(4000, 0, Fault.Kind.DRAINS, (int) seed, 0));
-          return drawn.with(faults);
+          return drawn.withFaults(faults);
         });
   }
 
@@ -179,7 +182,7 @@
         believesRefusals(),
         1,
         seed ->
-            Scenario.read(
+            Scenario.parse(
                 "seed "
                     + seed
                     + "\nproxies 20\nnodes 8\nrate 100/s\ncalls 2/s\nlasts 16000ms\n"
@@ -403,7 +406,7 @@
         believesRefusals(),
         1,
         seed ->
-            Scenario.read(
+            Scenario.parse(
                 "seed "
                     + seed
                     + "\nproxies 3\nnodes 8\nrate 60/s\nlasts 16000ms\nat 3000ms for 9000ms list-refuses by 1"
--- a/src/test/java/pathgw/simulation/SimulationTest.java
+++ b/src/test/java/pathgw/simulation/SimulationTest.java
@@ -14,6 +14,10 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import pathgw.config.InvalidInputException;
+import pathgw.simulation.cluster.Mutation;
+import pathgw.simulation.scenario.Fault;
+import pathgw.simulation.scenario.Scenario;
+import pathgw.simulation.scenario.ScenarioGenerator;
 
 /** The unchanged proxy under troubles from seeds, and under every script that once broke a rule. */
 class SimulationTest {
@@ -22,8 +26,8 @@
 
   @Test
   void theSeedsOfTheBuildKeepEveryRule() throws InterruptedException {
-    SeedRange.Sum sum = SeedRange.play(0, SEEDS - 1, 4, true, played -> {});
-    assertEquals(List.of(), sum.failed());
+    SeedRange.Result sum = SeedRange.play(0, SEEDS - 1, 4, true, SeedRange.ProgressListener.NONE);
+    assertEquals(List.of(), sum.failures());
     for (Fault.Kind kind : Arrays.asList(Fault.Kind.values()).subList(0, Fault.Kind.ANY_FLEET)) {
       assertTrue(sum.counts().containsKey("fault " + kind.word()), kind + " never came");
     }
@@ -34,8 +38,9 @@
    */
   @Test
   void largeFleetsKeepEveryRuleAndDoNotAddUpToAHerd() throws InterruptedException {
-    SeedRange.Sum sum = SeedRange.fleets(0, FLEETS - 1, 4, false, played -> {});
-    assertEquals(List.of(), sum.failed());
+    SeedRange.Result sum =
+        SeedRange.playFleets(0, FLEETS - 1, 4, false, SeedRange.ProgressListener.NONE);
+    assertEquals(List.of(), sum.failures());
     for (String kind :
         List.of(
             "restart", "zone-lost", "zone-silent", "deploy", "greed", "list-silent", "list-down")) {
@@ -60,7 +65,7 @@
     for (Path scenario : scripts) {
       assertEquals(
           null,
-          ScenarioRun.play(Scenario.read(Files.readString(scenario)), Mutation.NONE, null)
+          ScenarioRun.play(Scenario.parse(Files.readString(scenario)), Mutation.NONE, null)
               .violation(),
           scenario.toString());
     }
@@ -68,9 +73,10 @@
 
   @Test
   void theSameSeedIsTheSameRunHoweverManyThreads() throws InterruptedException {
-    long alone = SeedRange.play(40, 59, 1, false, played -> {}).digest();
-    assertEquals(alone, SeedRange.play(40, 59, 8, false, played -> {}).digest());
-    assertNotEquals(alone, SeedRange.play(41, 60, 8, false, played -> {}).digest());
+    long alone = SeedRange.play(40, 59, 1, false, SeedRange.ProgressListener.NONE).digest();
+    assertEquals(alone, SeedRange.play(40, 59, 8, false, SeedRange.ProgressListener.NONE).digest());
+    assertNotEquals(
+        alone, SeedRange.play(41, 60, 8, false, SeedRange.ProgressListener.NONE).digest());
   }
 
   @Test
@@ -86,9 +92,9 @@
   void aScriptIsReadAsItIsWritten() {
     for (long seed = 0; seed < 500; seed++) {
       Scenario scenario = ScenarioGenerator.scenario(seed);
-      assertEquals(scenario, Scenario.read(scenario.toString()), scenario.toString());
+      assertEquals(scenario, Scenario.parse(scenario.toString()), scenario.toString());
     }
-    assertEquals(Scenario.PLAIN, Scenario.read("\n# nothing\n seed 1\n"));
+    assertEquals(Scenario.DEFAULTS, Scenario.parse("\n# nothing\n seed 1\n"));
   }
 
   @Test
@@ -107,7 +113,7 @@
         }) {
       assertEquals(
           bad[1],
-          assertThrows(InvalidInputException.class, () -> Scenario.read(bad[0])).getMessage());
+          assertThrows(InvalidInputException.class, () -> Scenario.parse(bad[0])).getMessage());
     }
   }
 }
