--- a/src/main/java/pathgw/fake/ClientAttempt.java
+++ b/src/main/java/pathgw/fake/ClientAttempt.java
@@ -3,26 +3,33 @@
 import java.time.Duration;
 
 /**
- * One try of a client.
+ * One attempt of a client's request.
  *
- * @param id new with every try
- * @param mark what an idempotency-keyed request is known by, the same with every try; empty
- *     otherwise
- * @param first when the client first asked
- * @param at when this try was written whole
- * @param patience how long the client waits for this try
+ * @param id new with every attempt
+ * @param request what the client wants, the same with every attempt
+ * @param at when this attempt was written to its connection
+ * @param patience how long the client waits for this attempt
+ * @param tries how many attempts came before
+ * @param firstOnConnection whether the connection carried nothing before
  */
 public record ClientAttempt(
     String id,
-    FakeClients.RequestClass requestClass,
-    int tenant,
-    String key,
-    String mark,
-    Duration first,
+    ClientRequest request,
     Duration at,
     Duration patience,
     int tries,
     boolean firstOnConnection) {
+  /** The class of the request. */
+  public FakeClients.RequestClass requestClass() {
+    return request.requestClass();
+  }
+
+  /** The key that is read or written. */
+  public String key() {
+    return request.key();
+  }
+
+  /** When the client's wait for this attempt ends. */
   public Duration due() {
     return at.plus(patience);
   }
--- /dev/null
+++ b/src/main/java/pathgw/fake/ClientConnection.java
@@ -0,0 +1,182 @@
+package pathgw.fake;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+
+/** A client's connection to a proxy, with at most one attempt in flight. */
+final class ClientConnection implements ConnectionHandler {
+  /** How long after an attempt's timeout the client still reads, to see an answer that is late. */
+  private static final Duration LATE_ANSWER_WAIT = Duration.ofMillis(400);
+
+  private static final String WRITTEN_VALUE = "some bytes of a booking";
+  private static final String VALUE_LINE = "VA ";
+  private static final String STORED_LINE = "HD ";
+  private static final String REJECTED_LINE = "SERVER_ERROR busy";
+  private static final int CRLF_BYTES = 2;
+
+  private final Clock clock;
+  private final Random random;
+  private final ClientObserver observer;
+  private final FakeClients.Habits behavior;
+  private final List<String> tenants;
+  private final FakeClients clients;
+  private final ConnectionSide side;
+  private final int proxy;
+  private final RecordCutter cutter = new RecordCutter(this::line);
+  private ClientAttempt inFlight;
+  private boolean ended;
+  private boolean used;
+
+  ClientConnection(
+      Clock clock,
+      Random random,
+      ClientObserver observer,
+      FakeClients.Habits behavior,
+      List<String> tenants,
+      FakeClients clients,
+      ConnectionSide side,
+      int proxy) {
+    this.clock = clock;
+    this.random = random;
+    this.observer = observer;
+    this.behavior = behavior;
+    this.tenants = tenants;
+    this.clients = clients;
+    this.side = side;
+    this.proxy = proxy;
+  }
+
+  void close() {
+    side.close();
+  }
+
+  void send(ClientRequest request, Duration timeout, int retries) {
+    ClientAttempt attempt =
+        new ClientAttempt(
+            RandomValues.hexId(random), request, clock.now(), timeout, retries, !used);
+    used = true;
+    inFlight = attempt;
+    side.write(Buffer.buffer(command(attempt)));
+    observer.asked(attempt, proxy);
+    if (random.nextDouble() < behavior.leaves) {
+      Duration abandonAfter = Duration.ofNanos((long) (timeout.toNanos() * random.nextDouble()));
+      clock.in(abandonAfter, () -> abandon(attempt));
+    }
+    clock.in(timeout.plus(LATE_ANSWER_WAIT), () -> giveUp(attempt));
+  }
+
+  private String command(ClientAttempt attempt) {
+    ClientRequest request = attempt.request();
+    String labels = labels(attempt);
+    if (request.requestClass().effect() == FakeClients.Effect.IDEMPOTENT) {
+      return "mg " + request.key() + " v" + labels + "\r\n";
+    }
+    String line = "ms " + request.key() + " " + WRITTEN_VALUE.length() + labels + "\r\n";
+    return line + WRITTEN_VALUE + "\r\n";
+  }
+
+  private String labels(ClientAttempt attempt) {
+    ClientRequest request = attempt.request();
+    String idempotencyKey = request.idempotencyKey();
+    return " O"
+        + attempt.id()
+        + " Pc="
+        + request.requestClass().name()
+        + ",t="
+        + tenants.get(request.tenant())
+        + ",d="
+        + attempt.patience().toMillis()
+        + (idempotencyKey.isEmpty() ? "" : ",k=" + idempotencyKey)
+        + (attempt.tries() > 0 ? ",r=1" : "");
+  }
+
+  private void abandon(ClientAttempt attempt) {
+    if (attempt.equals(inFlight)) {
+      inFlight = null;
+      observer.left(attempt, proxy);
+      closeForGood();
+    }
+  }
+
+  private void giveUp(ClientAttempt attempt) {
+    if (attempt.equals(inFlight)) {
+      inFlight = null;
+      observer.neverAnswered(attempt, proxy);
+      closeForGood();
+    }
+  }
+
+  private void closeForGood() {
+    side.close();
+    ended = true;
+  }
+
+  @Override
+  public void came(Buffer bytes) {
+    cutter.take(bytes);
+  }
+
+  private void line(byte[] bytes, int from, int to) {
+    String line = Request.text(bytes, from, to);
+    if (!line.startsWith(VALUE_LINE)) {
+      answered(line);
+      return;
+    }
+    String size = line.split(" ")[1];
+    int length = size.matches("\\d{1,7}") ? Integer.parseInt(size) : 0;
+    cutter.expect(
+        length + CRLF_BYTES,
+        (value, start, end) -> answered(line + " " + Request.text(value, start, end - CRLF_BYTES)));
+  }
+
+  private void answered(String answer) {
+    ClientAttempt attempt = inFlight;
+    inFlight = null;
+    observer.answered(attempt, proxy, answer);
+    if (attempt == null) {
+      return;
+    }
+    keepOrClose();
+    if (answer.startsWith(REJECTED_LINE)) {
+      clients.retry(attempt, retryAfter(answer));
+    } else if (!isSuccess(answer) && attempt.request().mayBeRetried()) {
+      clients.retry(attempt, Duration.ZERO);
+    }
+  }
+
+  private void keepOrClose() {
+    if (random.nextDouble() < behavior.stay) {
+      ended = true; // Open on the wire, never used again.
+    } else if (ended || !clients.keepIdle(this, proxy)) {
+      closeForGood();
+    }
+  }
+
+  private static boolean isSuccess(String answer) {
+    return answer.startsWith(VALUE_LINE) || answer.startsWith(STORED_LINE);
+  }
+
+  /** The third word of a rejection, in milliseconds, where there is one. */
+  private static Duration retryAfter(String rejection) {
+    String[] words = rejection.split(" ");
+    return Duration.ofMillis(words.length > 2 ? Integer.parseInt(words[2]) : 0);
+  }
+
+  @Override
+  public void over() {
+    ended = true;
+    clients.removeIdle(this, proxy);
+    if (inFlight == null) {
+      return;
+    }
+    ClientAttempt attempt = inFlight;
+    inFlight = null;
+    observer.cutOff(attempt, proxy, !side.unread());
+    // The proxy died, or closed an idle connection just as the command was sent.
+    if (attempt.request().mayBeRetried()) {
+      clients.retry(attempt, Duration.ZERO);
+    }
+  }
+}
--- a/src/main/java/pathgw/fake/FakeClients.java
+++ b/src/main/java/pathgw/fake/FakeClients.java
@@ -1,31 +1,37 @@
 package pathgw.fake;
 
-import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
 
 /**
- * The clients of all proxies and the front that deals out their connections: it goes on sending to
- * a dead proxy for some seconds. Requests come at random times that wait for no answer.
+ * The clients of all proxies behind one load balancer. They send requests at random times, keep
+ * connections for reuse, and retry as far as a request's class allows. Some of them send malformed
+ * commands.
  */
 public final class FakeClients {
   /** How far a request may be repeated. */
   public enum Effect {
+    /** Any number of times. */
     IDEMPOTENT,
+
+    /** Any number of times with the same idempotency key, while the servers remember the key. */
     IDEMPOTENCY_KEYED,
+
+    /** Only where the first attempt is known not to have run. */
     AT_MOST_ONCE
   }
 
   /**
    * One class of requests.
    *
-   * @param repeats whether clients try an idempotency-keyed request again after any failure
-   * @param part of all requests
+   * @param repeats whether clients retry an idempotency-keyed request after any failure
+   * @param deadline how long a client wants the result, over all its attempts
+   * @param patience how long a client waits for one attempt
+   * @param part share of all requests, 0 to 1
    */
   public record RequestClass(
       String name,
@@ -35,55 +41,62 @@
       Duration patience,
       double part) {}
 
-  /** What clients do just now. */
+  /** What clients do at present; may be changed at any time. */
   public static final class Habits {
     /** Requests a second. */
     public double rate;
 
-    /** The share that asks for one single key. */
+    /** The share of requests for one single key. */
     public double hot;
 
-    /** How many times more the first tenant asks than it did. */
+    /** The first tenant's traffic, as a multiple of any other tenant's. */
     public double greed = 1;
 
-    /** The share that leaves before it has its answer. */
+    /** The share of attempts that the client abandons before it has an answer. */
     public double leaves;
 
-    /** The share that asks once and keeps its connection for good. */
+    /** The share of attempts after which the client keeps its connection open, unused. */
     public double stay;
 
-    /** Clients a second that send what is no command. */
+    /** Clients a second that send a malformed command. */
     public double rude;
   }
 
-  private static final int MOST_KEPT = 24;
-  private static final int MOST_TRIES = 3;
-  private static final Duration GIVES_UP = Duration.ofMillis(400);
-  private static final String VALUE = "some bytes of a booking";
+  private static final int MAX_IDLE_CONNECTIONS_PER_PROXY = 24;
+  private static final int MAX_ATTEMPTS = 3;
+  private static final int MIN_ATTEMPT_TIMEOUT_MS = 20;
+  private static final int MIN_CONNECT_RETRY_MS = 50;
+  private static final int CONNECT_RETRY_RANGE_MS = 200;
+  private static final int RETRY_JITTER_MS = 100;
+
+  /** One of so many connections is closed after an answer instead of being kept. */
+  private static final int CLOSE_ONE_OF = 20;
 
   private final Clock clock;
-  private final Random chance;
-  private final ClientConnector front;
+  private final Random random;
+  private final ClientConnector connector;
   private final ClientObserver observer;
-  private final List<RequestClass> requestClasses;
   private final List<String> tenants;
-  private final double[] keys;
-  private final Habits habits = new Habits();
-  private final List<Deque<Connection>> kept = new ArrayList<>();
-  private final boolean[] up;
-  private final Duration[] noticed;
-  private final double[] parts;
-  private int next;
+  private final Habits behavior = new Habits();
+  private final LoadBalancer loadBalancer;
+  private final ClientTraffic traffic;
+  private final MalformedTraffic malformedTraffic;
+  private final List<Deque<ClientConnection>> idleConnections = new ArrayList<>();
   private boolean stopped;
 
   /**
-   * @param uneven how unlike the proxies' traffic is: exponent of Zipf's law, 0 for turn by turn
-   * @param keys how many, asked for by Zipf's law with exponent {@code skew}
+   * Creates clients that have not started.
+   *
+   * @param random the source of all random choices
+   * @param uneven how unequal the proxies' traffic is: exponent of Zipf's law, 0 for round robin
+   * @param tenants names, as requests carry them
+   * @param keys how many keys there are
+   * @param skew exponent of Zipf's law for the keys' popularity
    */
   public FakeClients(
       Clock clock,
-      Random chance,
-      ClientConnector front,
+      Random random,
+      ClientConnector connector,
       ClientObserver observer,
       int proxies,
       double uneven,
@@ -92,376 +105,118 @@
       int keys,
       double skew) {
     this.clock = clock;
-    this.chance = chance;
-    this.front = front;
+    this.random = random;
+    this.connector = connector;
     this.observer = observer;
-    this.requestClasses = requestClasses;
     this.tenants = tenants;
-    this.keys = new double[keys];
-    double sum = 0;
-    for (int i = 0; i < keys; i++) {
-      sum += 1 / Math.sqrt(Math.pow(i + 1, 2 * skew));
-      this.keys[i] = sum;
-    }
-    parts = uneven == 0 ? null : new double[proxies];
-    double all = 0;
-    for (int i = 0; parts != null && i < proxies; i++) {
-      all += 1 / Math.sqrt(Math.pow(i + 1, 2 * uneven));
-      parts[i] = all;
-    }
-    up = new boolean[proxies];
-    noticed = new Duration[proxies];
+    loadBalancer = new LoadBalancer(clock, random, proxies, uneven);
+    traffic =
+        new ClientTraffic(
+            clock,
+            random,
+            behavior,
+            requestClasses,
+            tenants.size(),
+            new ZipfDistribution(keys, skew),
+            request -> send(request, 0));
+    malformedTraffic =
+        new MalformedTraffic(
+            clock, random, behavior, connector, observer, proxies, requestClasses.get(0).name());
     for (int i = 0; i < proxies; i++) {
-      kept.add(new ArrayDeque<>());
+      idleConnections.add(new ArrayDeque<>());
     }
   }
 
+  /** What the clients do at present, for the caller to change. */
   public Habits habits() {
-    return habits;
+    return behavior;
   }
 
+  /** Starts all traffic, with every proxy in the load balancer's rotation. */
   public void start() {
-    Arrays.fill(up, true);
-    arrive();
-    rude();
+    loadBalancer.addAll();
+    traffic.start();
+    malformedTraffic.start();
   }
 
+  /** Stops all traffic and closes the idle connections. */
   public void stop() {
     stopped = true;
-    kept.forEach(pool -> List.copyOf(pool).forEach(c -> c.side.close()));
+    traffic.stop();
+    malformedTraffic.stop();
+    idleConnections.forEach(pool -> List.copyOf(pool).forEach(ClientConnection::close));
   }
 
-  /** A proxy answers again: the front deals to it from now on. */
+  /** A proxy accepts connections: the load balancer uses it from now on. */
   public void serves(int proxy) {
-    up[proxy] = true;
-    noticed[proxy] = null;
+    loadBalancer.add(proxy);
   }
 
-  /** A proxy was told to stop: after a moment the front deals to it no more. */
+  /** A proxy begins its graceful shutdown: after a moment the load balancer uses it no more. */
   public void stops(int proxy) {
-    clock.in(Duration.ofMillis(200 + chance.nextInt(200)), () -> up[proxy] = false);
-  }
-
-  private Duration pause(double perSecond) {
-    return Duration.ofNanos((long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9));
-  }
-
-  private void arrive() {
-    clock.in(
-        pause(Math.max(0.1, habits.rate)),
-        () -> {
-          if (!stopped) {
-            double part = chance.nextDouble();
-            int o = 0;
-            while (o < requestClasses.size() - 1 && part >= requestClasses.get(o).part()) {
-              part -= requestClasses.get(o++).part();
-            }
-            RequestClass requestClass = requestClasses.get(o);
-            double of = tenants.size() - 1 + habits.greed;
-            double whose = chance.nextDouble() * of - habits.greed;
-            int tenant = whose < 0 ? 0 : Math.min(tenants.size() - 1, 1 + (int) whose);
-            String mark = requestClass.effect == Effect.IDEMPOTENCY_KEYED ? hex() : "";
-            attempt(requestClass, tenant, key(), mark, clock.now(), 0);
-            arrive();
-          }
-        });
-  }
-
-  private String key() {
-    if (chance.nextDouble() < habits.hot) {
-      return "khot";
-    }
-    double at = chance.nextDouble() * keys[keys.length - 1];
-    int found = Arrays.binarySearch(keys, at);
-    return "k" + (found < 0 ? -found - 1 : found);
-  }
-
-  private String hex() {
-    return String.format("%016x", chance.nextLong());
-  }
-
-  /** The front's turn; a proxy that it knows to be dead is passed over. */
-  private int deal() {
-    if (parts != null) {
-      int found = Arrays.binarySearch(parts, chance.nextDouble() * parts[parts.length - 1]);
-      next = found < 0 ? -found - 1 : found;
-      if (up[next]) {
-        return next;
-      }
-    }
-    for (int i = 0; i < up.length; i++) {
-      next = (next + 1) % up.length;
-      if (up[next]) {
-        return next;
-      }
-    }
-    return next = (next + 1) % up.length;
+    loadBalancer.drain(proxy);
   }
 
-  private void refused(int proxy) {
-    if (noticed[proxy] == null && up[proxy]) {
-      noticed[proxy] = clock.now().plusMillis(1500 + chance.nextInt(2000));
-      Duration notices = noticed[proxy];
-      clock.in(
-          notices.minus(clock.now()),
-          () -> {
-            if (notices.equals(noticed[proxy])) {
-              up[proxy] = false;
-            }
-          });
-    }
-  }
-
-  private void attempt(
-      RequestClass requestClass, int tenant, String key, String mark, Duration first, int tries) {
-    Duration left = first.plus(requestClass.deadline).minus(clock.now());
-    Duration wait = left.compareTo(requestClass.patience) < 0 ? left : requestClass.patience;
-    if (stopped || tries >= MOST_TRIES || wait.toMillis() < 20) {
+  /** Sends one attempt, on an idle connection where there is one. */
+  private void send(ClientRequest request, int retries) {
+    Duration remaining = request.remaining(clock.now());
+    Duration patience = request.requestClass().patience();
+    Duration timeout = remaining.compareTo(patience) < 0 ? remaining : patience;
+    if (stopped || retries >= MAX_ATTEMPTS || timeout.toMillis() < MIN_ATTEMPT_TIMEOUT_MS) {
       return;
     }
-    int proxy = deal();
-    Connection free = kept.get(proxy).pollLast();
-    if (free != null) {
-      free.ask(requestClass, tenant, key, mark, first, wait, tries);
+    int proxy = loadBalancer.next();
+    ClientConnection idle = idleConnections.get(proxy).pollLast();
+    if (idle != null) {
+      idle.send(request, timeout, retries);
       return;
     }
-    front.open(
+    connector.open(
         proxy,
         side -> {
-          Connection c = new Connection(side, proxy);
-          c.ask(requestClass, tenant, key, mark, first, wait, tries);
-          return c;
+          ClientConnection connection = connect(side, proxy);
+          connection.send(request, timeout, retries);
+          return connection;
         },
-        () -> {
-          refused(proxy);
-          clock.in(
-              Duration.ofMillis(50 + chance.nextInt(200)),
-              () -> attempt(requestClass, tenant, key, mark, first, tries + 1));
-        });
+        () -> connectionRefused(proxy, request, retries));
   }
 
-  private void again(ClientAttempt ask, Duration pause) {
-    clock.in(
-        pause.plusMillis(1 + chance.nextInt(100)),
-        () ->
-            attempt(
-                ask.requestClass(),
-                ask.tenant(),
-                ask.key(),
-                ask.mark(),
-                ask.first(),
-                ask.tries() + 1));
+  private ClientConnection connect(ConnectionSide side, int proxy) {
+    return new ClientConnection(clock, random, observer, behavior, tenants, this, side, proxy);
   }
 
-  private boolean mayRepeat(ClientAttempt ask) {
-    return ask.requestClass().effect == Effect.IDEMPOTENT
-        || (ask.requestClass().effect == Effect.IDEMPOTENCY_KEYED && ask.requestClass().repeats);
+  private void connectionRefused(int proxy, ClientRequest request, int retries) {
+    loadBalancer.connectionRefused(proxy);
+    Duration pause =
+        Duration.ofMillis(MIN_CONNECT_RETRY_MS + random.nextInt(CONNECT_RETRY_RANGE_MS));
+    clock.in(pause, () -> send(request, retries + 1));
   }
 
-  /** One kept connection and the try that is out on it. */
-  private final class Connection implements ConnectionHandler {
-    private final ConnectionSide side;
-    private final int proxy;
-    private final RecordCutter cutter = new RecordCutter(this::line);
-    private ClientAttempt out;
-    private boolean over;
-    private boolean used;
-
-    Connection(ConnectionSide side, int proxy) {
-      this.side = side;
-      this.proxy = proxy;
-    }
-
-    void ask(
-        RequestClass requestClass,
-        int tenant,
-        String key,
-        String mark,
-        Duration first,
-        Duration wait,
-        int tries) {
-      ClientAttempt ask =
-          new ClientAttempt(
-              hex(), requestClass, tenant, key, mark, first, clock.now(), wait, tries, !used);
-      used = true;
-      boolean write = requestClass.effect != Effect.IDEMPOTENT;
-      String labels =
-          " O"
-              + ask.id()
-              + " Pc="
-              + requestClass.name
-              + ",t="
-              + tenants.get(tenant)
-              + ",d="
-              + wait.toMillis()
-              + (mark.isEmpty() ? "" : ",k=" + mark)
-              + (tries > 0 ? ",r=1" : "");
-      out = ask;
-      side.write(
-          Buffer.buffer(
-              write
-                  ? "ms " + key + " " + VALUE.length() + labels + "\r\n" + VALUE + "\r\n"
-                  : "mg " + key + " v" + labels + "\r\n"));
-      observer.asked(ask, proxy);
-      if (chance.nextDouble() < habits.leaves) {
-        clock.in(
-            Duration.ofNanos((long) (wait.toNanos() * chance.nextDouble())),
-            () -> {
-              if (ask.equals(out)) {
-                out = null;
-                observer.left(ask, proxy);
-                side.close();
-                over = true;
-              }
-            });
-      }
-      clock.in(
-          wait.plus(GIVES_UP),
-          () -> {
-            if (ask.equals(out)) {
-              out = null;
-              observer.neverAnswered(ask, proxy);
-              side.close();
-              over = true;
-            }
-          });
-    }
-
-    @Override
-    public void came(Buffer bytes) {
-      cutter.take(bytes);
-    }
-
-    private void line(byte[] bytes, int from, int to) {
-      String line = Request.text(bytes, from, to);
-      if (!line.startsWith("VA ")) {
-        answered(line);
-        return;
-      }
-      String size = line.split(" ")[1];
-      int length = size.matches("\\d{1,7}") ? Integer.parseInt(size) : 0;
-      cutter.expect(length + 2, (b, f, t) -> answered(line + " " + Request.text(b, f, t - 2)));
-    }
-
-    private void answered(String answer) {
-      ClientAttempt ask = out;
-      out = null;
-      if (ask == null) {
-        observer.answered(null, proxy, answer);
-        return;
-      }
-      observer.answered(ask, proxy, answer);
-      if (chance.nextDouble() < habits.stay) {
-        over = true;
-      } else if (!over
-          && !stopped
-          && kept.get(proxy).size() < MOST_KEPT
-          && chance.nextInt(20) > 0) {
-        kept.get(proxy).addLast(this);
-      } else {
-        side.close();
-        over = true;
-      }
-      if (answer.startsWith("SERVER_ERROR busy")) {
-        String[] words = answer.split(" ");
-        again(ask, Duration.ofMillis(words.length > 2 ? Integer.parseInt(words[2]) : 0));
-      } else if (!answer.startsWith("VA ") && !answer.startsWith("HD ") && mayRepeat(ask)) {
-        again(ask, Duration.ZERO);
-      }
-    }
-
-    @Override
-    public void over() {
-      over = true;
-      kept.get(proxy).remove(this);
-      if (out != null) {
-        ClientAttempt ask = out;
-        out = null;
-        observer.cutOff(ask, proxy, !side.unread());
-        // A close that crossed it, or a proxy that died: clients ask once more.
-        if (mayRepeat(ask)) {
-          again(ask, Duration.ZERO);
-        }
-      }
-    }
-  }
-
-  private void rude() {
+  /** Sends the next attempt of a request after a pause with some jitter. */
+  void retry(ClientAttempt attempt, Duration pause) {
     clock.in(
-        pause(Math.max(0.2, habits.rude)),
-        () -> {
-          if (!stopped) {
-            if (habits.rude > 0) {
-              int proxy = chance.nextInt(up.length);
-              front.open(proxy, side -> new Rude(side, proxy), () -> {});
-            }
-            rude();
-          }
-        });
+        pause.plusMillis(1 + random.nextInt(RETRY_JITTER_MS)),
+        () -> send(attempt.request(), attempt.tries() + 1));
   }
 
-  /** A connection on which comes what is no command. */
-  private final class Rude implements ConnectionHandler {
-    private static final int FORMS = 12;
-
-    private final ConnectionSide side;
-    private final int proxy;
-    private final Duration since = clock.now();
-    private final int form = chance.nextInt(FORMS);
-    private final RecordCutter cutter = new RecordCutter(this::line);
-    private boolean over;
-
-    Rude(ConnectionSide side, int proxy) {
-      this.side = side;
-      this.proxy = proxy;
-      String id = hex();
-      String good = " O" + id + " Pc=" + requestClasses.get(0).name + ",d=400";
-      String sent =
-          switch (form) {
-            case 0 -> "";
-            case 1 -> "\u0001\u00fe\u0080 what\r\n";
-            case 2 -> "mg k1 v" + "x".repeat(5000);
-            case 3 -> "ms k1 -5" + good + "\r\n";
-            case 4 -> "ms k1 60000000" + good + "\r\n";
-            case 5 -> "mg k1 v O" + id + " Pc=nothing,d=400\r\n";
-            case 6 -> "mg k1 v O" + id + " Pc=" + requestClasses.get(0).name + ",d=soon\r\n";
-            case 7 -> "mg k1 v Pc=" + requestClasses.get(0).name + ",d=400\r\n";
-            case 8 -> "ms k1 5" + good + "\r\nhe";
-            case 9 -> "mn2\r\n".repeat(300);
-            case 10 -> "ms k1 5" + good + "\r\nhello, and more than said\r\n";
-            default -> "mg " + "k".repeat(300) + " v" + good + "\r\n";
-          };
-      if (!sent.isEmpty()) {
-        side.write(Buffer.buffer(sent));
-      }
-      if (form == 8 && chance.nextBoolean()) {
-        side.close();
-        over = true;
-      } else {
-        clock.in(Duration.ofMillis(3600), () -> tell(null, ""));
-      }
-    }
-
-    @Override
-    public void came(Buffer bytes) {
-      cutter.take(bytes);
-    }
-
-    private void line(byte[] bytes, int from, int to) {
-      tell(clock.now().minus(since), Request.text(bytes, from, to));
-    }
-
-    private void tell(Duration took, String answer) {
-      if (!over) {
-        over = true;
-        observer.rude(proxy, "form " + form, took, answer);
-        side.close();
-      }
+  /**
+   * Keeps a connection for reuse.
+   *
+   * @return false where it must be closed instead
+   */
+  boolean keepIdle(ClientConnection connection, int proxy) {
+    Deque<ClientConnection> pool = idleConnections.get(proxy);
+    if (stopped
+        || pool.size() >= MAX_IDLE_CONNECTIONS_PER_PROXY
+        || random.nextInt(CLOSE_ONE_OF) == 0) {
+      return false;
     }
+    pool.addLast(connection);
+    return true;
+  }
 
-    @Override
-    public void over() {
-      tell(clock.now().minus(since), "");
-    }
+  /** Forgets a connection that has ended. */
+  void removeIdle(ClientConnection connection, int proxy) {
+    idleConnections.get(proxy).remove(connection);
   }
 }
--- /dev/null
+++ b/src/main/java/pathgw/fake/MalformedClient.java
@@ -0,0 +1,77 @@
+package pathgw.fake;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+
+/** A client that sends one malformed command and waits for an error line or the close. */
+final class MalformedClient implements ConnectionHandler {
+  private static final List<MalformedInput> INPUTS = List.of(MalformedInput.values());
+  private static final Duration LONGEST_WAIT = Duration.ofMillis(3600);
+
+  private final Clock clock;
+  private final ClientObserver observer;
+  private final ConnectionSide side;
+  private final int proxy;
+  private final Duration openedAt;
+
+  /** Index of the input, by which observers know it. */
+  private final int form;
+
+  private final RecordCutter cutter = new RecordCutter(this::line);
+  private boolean ended;
+
+  MalformedClient(
+      Clock clock,
+      Random random,
+      ClientObserver observer,
+      String requestClass,
+      ConnectionSide side,
+      int proxy) {
+    this.clock = clock;
+    this.observer = observer;
+    this.side = side;
+    this.proxy = proxy;
+    openedAt = clock.now();
+    form = random.nextInt(INPUTS.size());
+    MalformedInput input = INPUTS.get(form);
+    String text = input.text(RandomValues.hexId(random), requestClass);
+    if (!text.isEmpty()) {
+      side.write(Buffer.buffer(text));
+    }
+    if (input == MalformedInput.INCOMPLETE_VALUE && random.nextBoolean()) {
+      side.close();
+      ended = true;
+    } else {
+      clock.in(LONGEST_WAIT, () -> end(null, ""));
+    }
+  }
+
+  @Override
+  public void came(Buffer bytes) {
+    cutter.take(bytes);
+  }
+
+  private void line(byte[] bytes, int from, int to) {
+    end(clock.now().minus(openedAt), Request.text(bytes, from, to));
+  }
+
+  @Override
+  public void over() {
+    end(clock.now().minus(openedAt), "");
+  }
+
+  /**
+   * Reports the end once and closes.
+   *
+   * @param took the time to the error line or the close; null where neither came
+   */
+  private void end(Duration took, String answer) {
+    if (!ended) {
+      ended = true;
+      observer.rude(proxy, "form " + form, took, answer);
+      side.close();
+    }
+  }
+}
