--- a/src/main/java/pathgw/fake/ClientConnection.java
+++ b/src/main/java/pathgw/fake/ClientConnection.java
@@ -54,8 +54,7 @@
 
   void send(ClientRequest request, Duration timeout, int retries) {
     ClientAttempt attempt =
-        new ClientAttempt(
-            RandomValues.hexId(random), request, clock.now(), timeout, retries, !used);
+        new ClientAttempt(RandomIds.next(random), request, clock.now(), timeout, retries, !used);
     used = true;
     inFlight = attempt;
     side.write(Buffer.buffer(command(attempt)));
@@ -115,7 +114,7 @@
 
   @Override
   public void came(Buffer bytes) {
-    cutter.take(bytes);
+    cutter.add(bytes);
   }
 
   private void line(byte[] bytes, int from, int to) {
--- a/src/main/java/pathgw/fake/DedupMemory.java
+++ b/src/main/java/pathgw/fake/DedupMemory.java
@@ -9,55 +9,70 @@
 import java.util.function.Consumer;
 
 /**
- * What a group remembers of marked requests: the receipt of the first, for a while from when it
- * began.
+ * The idempotency keys that a group of servers remembers. Each key is kept for a fixed time from
+ * when its first request began, together with that request's receipt.
  */
 public final class DedupMemory {
-  private static final class Known {
-    final Duration until;
+  private static final class Entry {
+    final Duration expiresAt;
+    final List<Consumer<String>> waitingRepeats = new ArrayList<>();
+
+    /** Null until the first request has completed. */
     String receipt;
-    final List<Consumer<String>> waiting = new ArrayList<>();
 
-    Known(Duration until) {
-      this.until = until;
+    Entry(Duration expiresAt) {
+      this.expiresAt = expiresAt;
     }
   }
 
-  private final Duration span;
-  private final Map<String, Known> known = new LinkedHashMap<>();
+  private final Duration retention;
+
+  /** In the order of expiry, since every key is kept for the same time. */
+  private final Map<String, Entry> entries = new LinkedHashMap<>();
 
-  public DedupMemory(Duration span) {
-    this.span = span;
+  /**
+   * Creates an empty memory.
+   *
+   * @param retention how long a key is remembered
+   */
+  public DedupMemory(Duration retention) {
+    this.retention = retention;
   }
 
   /**
-   * Whether this mark is known; if so {@code receipt} hears what the first was given, once it has
-   * one.
+   * Whether a key is remembered already; a new key is remembered from now on.
+   *
+   * @param onReceipt of a repeat: receives the first request's receipt, as soon as there is one
    */
-  boolean repeats(String mark, Duration now, Consumer<String> receipt) {
-    Iterator<Known> oldest = known.values().iterator();
-    while (oldest.hasNext() && oldest.next().until.compareTo(now) <= 0) {
-      oldest.remove();
-    }
-    Known k = known.get(mark);
-    if (k == null) {
-      known.put(mark, new Known(now.plus(span)));
+  boolean isRepeat(String idempotencyKey, Duration now, Consumer<String> onReceipt) {
+    removeExpired(now);
+    Entry entry = entries.get(idempotencyKey);
+    if (entry == null) {
+      entries.put(idempotencyKey, new Entry(now.plus(retention)));
       return false;
     }
-    if (k.receipt != null) {
-      receipt.accept(k.receipt);
+    if (entry.receipt != null) {
+      onReceipt.accept(entry.receipt);
     } else {
-      k.waiting.add(receipt);
+      entry.waitingRepeats.add(onReceipt);
     }
     return true;
   }
 
-  void done(String mark, String receipt) {
-    Known k = known.get(mark);
-    if (k != null && k.receipt == null) {
-      k.receipt = receipt;
-      k.waiting.forEach(w -> w.accept(receipt));
-      k.waiting.clear();
+  private void removeExpired(Duration now) {
+    Iterator<Entry> oldest = entries.values().iterator();
+    while (oldest.hasNext() && oldest.next().expiresAt.compareTo(now) <= 0) {
+      oldest.remove();
+    }
+  }
+
+  /** Stores the receipt of a completed request and answers the repeats that wait for it. */
+  void complete(String idempotencyKey, String receipt) {
+    Entry entry = entries.get(idempotencyKey);
+    if (entry != null && entry.receipt == null) {
+      entry.receipt = receipt;
+      entry.waitingRepeats.forEach(repeat -> repeat.accept(receipt));
+      entry.waitingRepeats.clear();
     }
   }
 }
--- /dev/null
+++ b/src/main/java/pathgw/fake/DiscoveryConnection.java
@@ -0,0 +1,192 @@
+package pathgw.fake;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+
+/** One HTTP connection of a proxy to the discovery service; a watch once it has asked for one. */
+final class DiscoveryConnection implements ConnectionHandler {
+  private static final Duration KEEP_ALIVE_INTERVAL = Duration.ofSeconds(2);
+  private static final long NO_VERSION = -1;
+  private static final String WATCH_PARAMETER = "follow=1";
+  private static final String SINCE_PARAMETER = "since=";
+
+  private final FakeDiscovery discovery;
+  private final Clock clock;
+  private final Random random;
+  private final BackendObserver observer;
+  private final EndpointHistory history;
+  private final String from;
+  private final ConnectionSide side;
+  private final RecordCutter cutter = new RecordCutter(this::line);
+
+  /** Path of the request whose head is being read; null between requests. */
+  private String path;
+
+  /** The version of the list that the watch has brought the proxy to. */
+  private long sentVersion = NO_VERSION;
+
+  private boolean watching;
+  private boolean silent;
+
+  /**
+   * Takes over a connection.
+   *
+   * @param from the proxy
+   */
+  DiscoveryConnection(FakeDiscovery discovery, String from, ConnectionSide side) {
+    this.discovery = discovery;
+    clock = discovery.clock;
+    random = discovery.random;
+    observer = discovery.observer;
+    history = discovery.history;
+    this.from = from;
+    this.side = side;
+  }
+
+  String from() {
+    return from;
+  }
+
+  /** Whether it is a watch that still sends. */
+  boolean sendsChanges() {
+    return watching && !silent;
+  }
+
+  boolean watching() {
+    return watching;
+  }
+
+  /** Keeps the watch open and sends nothing more on it. */
+  void silence() {
+    silent = true;
+  }
+
+  void close() {
+    side.close();
+    over();
+  }
+
+  @Override
+  public void came(Buffer bytes) {
+    cutter.add(bytes);
+  }
+
+  private void line(byte[] bytes, int start, int end) {
+    String line = Request.text(bytes, start, end);
+    if (line.startsWith("GET ")) {
+      path = line.split(" ")[1];
+    } else if (line.isEmpty() && path != null) {
+      String requested = path;
+      path = null;
+      enqueue(requested);
+    }
+  }
+
+  private void enqueue(String requested) {
+    Duration wait = discovery.calls.enqueue();
+    if (wait == null) {
+      reject();
+    } else {
+      Duration delay = discovery.drawDelay().plusMillis(1).plus(wait);
+      clock.in(delay, () -> answer(requested));
+    }
+  }
+
+  private void answer(String requested) {
+    if (!discovery.isOpen(this)) {
+      return;
+    }
+    if (discovery.drawRefusal()) {
+      refuse();
+      return;
+    }
+    discovery.heard(from);
+    if (requested.contains(WATCH_PARAMETER)) {
+      startWatch(requested);
+    } else {
+      sendList();
+    }
+  }
+
+  private void refuse() {
+    if (random.nextBoolean()) {
+      side.reset();
+      over();
+    } else {
+      reject();
+    }
+  }
+
+  private void reject() {
+    side.write(Buffer.buffer("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n"));
+  }
+
+  private void sendList() {
+    String list = history.completeJson();
+    String head = "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n";
+    side.write(Buffer.buffer(head + list));
+    reportCompleteList();
+  }
+
+  private void startWatch(String requested) {
+    int since = requested.indexOf(SINCE_PARAMETER);
+    sentVersion =
+        since < 0
+            ? NO_VERSION
+            : Long.parseLong(requested.substring(since + SINCE_PARAMETER.length()));
+    side.write(Buffer.buffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    watching = true;
+    // The first line comes also where nothing has changed: it says that the list is up to date.
+    if (sentVersion == history.version()) {
+      chunk(EndpointHistory.changesJson(sentVersion, List.of()) + "\n");
+    } else {
+      sendChanges(history.version());
+    }
+    scheduleKeepAlive();
+  }
+
+  private void scheduleKeepAlive() {
+    clock.in(
+        KEEP_ALIVE_INTERVAL,
+        () -> {
+          if (discovery.isOpen(this) && !silent) {
+            chunk("\n");
+            scheduleKeepAlive();
+          }
+        });
+  }
+
+  /** Sends what a watch lacks up to a version: the changes, or the complete list. */
+  void sendChanges(long upTo) {
+    if (!discovery.isOpen(this) || silent || sentVersion >= upTo) {
+      return;
+    }
+    if (history.hasChangesSince(sentVersion)) {
+      List<FakeDiscovery.Entry> missed = history.changes(sentVersion, upTo);
+      chunk(EndpointHistory.changesJson(upTo, missed) + "\n");
+      missed.forEach(entry -> observer.told(from, entry.host(), entry.health(), upTo));
+      sentVersion = upTo;
+    } else {
+      chunk(history.completeJson() + "\n");
+      reportCompleteList();
+      sentVersion = history.version();
+    }
+  }
+
+  private void reportCompleteList() {
+    long version = history.version();
+    history.entries().forEach(e -> observer.told(from, e.host(), e.health(), version));
+    observer.told(from, "", "", version);
+  }
+
+  private void chunk(String text) {
+    side.write(Buffer.buffer(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"));
+  }
+
+  @Override
+  public void over() {
+    discovery.ended(this);
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/fake/EndpointHistory.java
@@ -0,0 +1,84 @@
+package pathgw.fake;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** The endpoint list with its version, and its latest changes as far as they are kept. */
+final class EndpointHistory {
+  /** A watch that has missed more changes than this receives the complete list. */
+  private static final int MAX_CHANGES = 16;
+
+  /** One change of the list, which gave it this version. */
+  private record Change(long version, FakeDiscovery.Entry entry) {}
+
+  private final Map<String, FakeDiscovery.Entry> entries = new LinkedHashMap<>();
+  private final List<Change> changes = new ArrayList<>();
+  private long version = 1;
+
+  /** Applies a change: an entry that is gone is removed. */
+  void apply(FakeDiscovery.Entry entry) {
+    version++;
+    if (entry.health().equals(FakeDiscovery.GONE)) {
+      entries.remove(entry.host());
+    } else {
+      entries.put(entry.host(), entry);
+    }
+    changes.add(new Change(version, entry));
+    if (changes.size() > MAX_CHANGES) {
+      changes.remove(0);
+    }
+  }
+
+  long version() {
+    return version;
+  }
+
+  Collection<FakeDiscovery.Entry> entries() {
+    return entries.values();
+  }
+
+  /** The health of a host; {@code gone} where the list does not name it. */
+  String health(String host) {
+    FakeDiscovery.Entry entry = entries.get(host);
+    return entry == null ? FakeDiscovery.GONE : entry.health();
+  }
+
+  /** Whether all changes since an earlier version are kept. */
+  boolean hasChangesSince(long since) {
+    return since >= 0
+        && since < version
+        && !changes.isEmpty()
+        && changes.get(0).version() <= since + 1;
+  }
+
+  /** The changes after one version up to another, oldest first. */
+  List<FakeDiscovery.Entry> changes(long after, long upTo) {
+    return changes.stream()
+        .filter(change -> change.version() > after && change.version() <= upTo)
+        .map(Change::entry)
+        .toList();
+  }
+
+  /** The complete list as JSON. */
+  String completeJson() {
+    return json(version, true, entries.values());
+  }
+
+  /** Some changes as JSON. */
+  static String changesJson(long version, List<FakeDiscovery.Entry> changes) {
+    return json(version, false, changes);
+  }
+
+  private static String json(
+      long version, boolean complete, Collection<FakeDiscovery.Entry> entries) {
+    return entries.stream()
+        .map(FakeDiscovery.Entry::json)
+        .collect(
+            Collectors.joining(
+                ",", "{\"seq\":" + version + ",\"whole\":" + complete + ",\"hosts\":[", "]}"));
+  }
+}
--- a/src/main/java/pathgw/fake/FakeCacheNode.java
+++ b/src/main/java/pathgw/fake/FakeCacheNode.java
@@ -5,19 +5,26 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 
-/** A cache node: keeps copies, warms up, falls over when cold and overdriven, drains. */
+/**
+ * A cache node that speaks the meta protocol. It evicts the key used longest ago, starts with a
+ * part of its capacity, crashes when overloaded while it warms up, and drains on command.
+ */
 public final class FakeCacheNode extends FakeServer {
   /**
-   * What it bears.
+   * What a node can take.
    *
-   * @param service what one request takes on a warm node
-   * @param queue how many may wait
+   * @param slots how many requests it works on at a time
+   * @param service the mean work of one request on a warm node
+   * @param queue how many requests may wait
+   * @param connections how many connections it accepts
    * @param idle how long a connection may stand idle
-   * @param coldFrom the share of its capacity that it begins with
-   * @param tipMultiple a cold node that gets over this many times its capacity for {@code fallFor}
-   *     falls over
-   * @param keeps how many copies
+   * @param coldFrom the share of its capacity that it starts with
+   * @param coldFor how long it warms up, its capacity growing evenly
+   * @param tipMultiple a node that warms up crashes when it receives more than this multiple of its
+   *     capacity for {@code fallFor}
+   * @param keeps how many values it stores
    * @param origin where it fetches what it lacks; null where it only stores
    */
   public record Figures(
@@ -31,200 +38,224 @@
       double tipMultiple,
       Duration fallFor,
       int keeps,
-      FakeOrigin origin) {}
+      FakeOrigin origin) {
+    private ServerLimits limits() {
+      return new ServerLimits(slots, service, queue, connections, idle);
+    }
+  }
+
+  private static final double OVERLOAD_SLACK_ROOTS = 2;
+  private static final double OVERLOAD_SLACK_REQUESTS = 2;
 
   private final Figures figures;
   private final Duration coldSince;
   private final DedupMemory memory;
-  private final WorkerQueue workers;
-  private final OverloadWindow pressure;
-  private final Runnable fallsOver;
-  private final Map<String, Integer> copies;
+  private final OverloadWindow load;
+  private final Runnable crash;
+  private final Map<String, Integer> storedVersions;
   private boolean draining;
 
   /**
-   * @param coldSince when it began empty; null for one that has been warm for long
-   * @param memory of marked requests, shared with its group
-   * @param fallsOver ends this node for good
+   * Creates an empty node.
+   *
+   * @param coldSince when it started; null for a node that is warm already
+   * @param memory of idempotency keys, shared with the nodes of its group
+   * @param crash ends this node for good
    */
   public FakeCacheNode(
       String name,
       Clock clock,
-      Random chance,
+      Random random,
       BackendObserver observer,
       FaultInjection faults,
       Figures figures,
       Duration coldSince,
       DedupMemory memory,
-      Runnable fallsOver) {
-    super(name, clock, chance, observer, faults, figures.connections(), figures.idle());
+      Runnable crash) {
+    super(name, clock, random, observer, faults, figures.limits());
     this.figures = figures;
     this.coldSince = coldSince;
     this.memory = memory;
-    this.fallsOver = fallsOver;
-    workers =
-        new WorkerQueue(
-            clock,
-            chance,
-            figures.slots(),
-            figures.service(),
-            figures.queue(),
-            () -> faults.slower / warmth());
-    pressure = new OverloadWindow(figures.fallFor(), 2, 2);
-    copies =
-        new LinkedHashMap<>(64, 0.75f, true) {
-          private static final long serialVersionUID = 1L;
-
-          @Override
-          protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
-            return size() > figures.keeps();
-          }
-        };
+    this.crash = crash;
+    load = new OverloadWindow(figures.fallFor(), OVERLOAD_SLACK_ROOTS, OVERLOAD_SLACK_REQUESTS);
+    storedVersions = new LeastRecentlyUsedMap(figures.keeps());
+  }
+
+  /** The versions stored under each key, without the keys used longest ago. */
+  private static final class LeastRecentlyUsedMap extends LinkedHashMap<String, Integer> {
+    private static final long serialVersionUID = 1L;
+    private static final int INITIAL_CAPACITY = 64;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final int maxSize;
+
+    LeastRecentlyUsedMap(int maxSize) {
+      super(INITIAL_CAPACITY, LOAD_FACTOR, true);
+      this.maxSize = maxSize;
+    }
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+      return size() > maxSize;
+    }
   }
 
+  /** Whether the node is still warming up. */
   public boolean cold() {
     return coldSince != null && clock.now().minus(coldSince).compareTo(figures.coldFor()) < 0;
   }
 
+  /** The share of its capacity that it has at present, 0 to 1. */
   private double warmth() {
-    return !cold()
-        ? 1
-        : figures.coldFrom()
-            + (1 - figures.coldFrom())
-                * clock.now().minus(coldSince).toNanos()
-                / figures.coldFor().toNanos();
+    if (!cold()) {
+      return 1;
+    }
+    double gained = 1 - figures.coldFrom();
+    long elapsedNanos = clock.now().minus(coldSince).toNanos();
+    return figures.coldFrom() + gained * elapsedNanos / figures.coldFor().toNanos();
   }
 
-  /** Finishes what it has and wants nothing new. */
+  /** Finishes the requests that it has and rejects all others. */
   public void drain() {
     draining = true;
   }
 
+  /** Removes all values. */
   public void flush() {
-    copies.clear();
+    storedVersions.clear();
   }
 
+  /** Stores a version of a key's value. */
   public void store(String key, int version) {
-    copies.put(key, version);
+    storedVersions.put(key, version);
   }
 
+  /** Removes the value of a key. */
   public void drop(String key) {
-    copies.remove(key);
+    storedVersions.remove(key);
   }
 
   @Override
-  RequestReader reader(Conversation talk) {
-    return RequestReader.meta(talk::take, talk::unreadable);
+  RequestReader reader(Consumer<Request> request, Runnable unreadable) {
+    return RequestReader.meta(request, unreadable);
   }
 
   @Override
-  boolean refuses() {
+  double slowdown() {
+    return faults.slower / warmth();
+  }
+
+  @Override
+  boolean rejectsAll() {
     return draining;
   }
 
   @Override
-  void serve(Request request, Reply reply) {
-    if (cold()) {
-      pressure.arrived(clock.now(), reply.from(), request.id());
-      double capacity = figures.slots() * 1e9 / figures.service().toNanos() * warmth();
-      observer.pressed(pressure.part(figures.tipMultiple() * capacity));
-      if (pressure.over(figures.tipMultiple() * capacity)) {
-        observer.pushedOver(name, pressure.work());
-        fallsOver.run();
-        return;
-      }
-    }
-    if (workers.full()) {
-      turnAway(request, reply);
-      return;
+  DedupMemory memory() {
+    return memory;
+  }
+
+  @Override
+  boolean survivesArrival(Request request, String from) {
+    if (!cold()) {
+      return true;
     }
-    // A marked request is known from here on, and its repeats wait for its receipt.
-    String mark = request.label('k');
-    boolean again =
-        request.write()
-            && !mark.isEmpty()
-            && memory.repeats(mark, clock.now(), receipt -> receipt(request, reply, receipt));
-    observer.ran(name, request, again);
-    if (!again) {
-      workers.work(() -> end(request, reply));
+    load.add(clock.now(), from, request.id());
+    double capacity = limits.requestsPerSecond() * warmth();
+    double limit = figures.tipMultiple() * capacity;
+    observer.pressed(load.utilization(limit));
+    if (!load.exceeds(limit)) {
+      return true;
     }
+    observer.pushedOver(name, load.arrivals());
+    crash.run();
+    return false;
   }
 
-  private void end(Request request, Reply reply) {
-    Integer version = copies.get(request.key());
-    if (faults.fails > 0 && chance.nextDouble() < faults.fails) {
-      reply.give(failed(request));
+  @Override
+  void execute(Request request, PendingReply reply) {
+    // Looked up also where the request then fails: the lookup counts as a use of the key.
+    Integer version = storedVersions.get(request.key());
+    if (happens(faults.fails)) {
+      reply.send(failure());
     } else if (request.write()) {
-      figures
-          .origin()
-          .write(
-              request,
-              result -> {
-                if (result != null) {
-                  memory.done(request.label('k'), result);
-                  receipt(request, reply, result);
-                } else {
-                  reply.give(failed(request));
-                }
-              });
+      writeThrough(request, reply);
     } else if (version != null) {
-      value(request, reply, version, true);
-    } else if (figures.origin() == null) {
-      observer.missed(name, request, cold());
-      reply.give(Buffer.buffer("EN O" + request.id() + "\r\n"));
+      sendValue(request, reply, version, true);
     } else {
       observer.missed(name, request, cold());
-      figures
-          .origin()
-          .read(
-              request,
-              reply.from(),
-              fetched -> {
-                if (fetched >= 0) {
-                  store(request.key(), fetched);
-                  value(request, reply, fetched, false);
-                } else {
-                  reply.give(failed(request));
-                }
-              });
+      miss(request, reply);
     }
   }
 
-  private void receipt(Request request, Reply reply, String receipt) {
-    observer.made(name, request, receipt);
-    reply.give(Buffer.buffer("HD O" + request.id() + " c" + receipt + "\r\n"));
+  private void writeThrough(Request request, PendingReply reply) {
+    figures
+        .origin()
+        .write(
+            request,
+            receipt -> {
+              if (receipt != null) {
+                completeWrite(request, reply, receipt);
+              } else {
+                reply.send(failure());
+              }
+            });
   }
 
-  private void value(Request request, Reply reply, int version, boolean hit) {
-    String value = "v" + version + ":" + request.key() + ":" + request.id() + ":" + name;
-    observer.made(name, request, value);
+  private void miss(Request request, PendingReply reply) {
+    if (figures.origin() == null) {
+      reply.send(Buffer.buffer("EN O" + request.id() + "\r\n"));
+      return;
+    }
+    figures
+        .origin()
+        .read(
+            request,
+            reply.from(),
+            version -> {
+              if (version != FakeOrigin.READ_FAILED) {
+                store(request.key(), version);
+                sendValue(request, reply, version, false);
+              } else {
+                reply.send(failure());
+              }
+            });
+  }
+
+  private void sendValue(Request request, PendingReply reply, int version, boolean hit) {
+    String value = makeValue(request, version);
     String flag = figures.origin() == null ? "" : hit ? " h1" : " h0";
-    reply.give(
-        Buffer.buffer(
-            "VA " + value.length() + " O" + request.id() + flag + "\r\n" + value + "\r\n"));
+    String line = "VA " + value.length() + " O" + request.id() + flag;
+    reply.send(Buffer.buffer(line + "\r\n" + value + "\r\n"));
   }
 
   @Override
-  Buffer turnedAway(Request request) {
+  void sendReceipt(Request request, PendingReply reply, String receipt) {
+    reply.send(Buffer.buffer("HD O" + request.id() + " c" + receipt + "\r\n"));
+  }
+
+  @Override
+  Buffer rejection() {
     return Buffer.buffer("SERVER_ERROR busy\r\n");
   }
 
   @Override
-  Buffer failed(Request request) {
+  Buffer failure() {
     return Buffer.buffer("SERVER_ERROR failed\r\n");
   }
 
   @Override
-  Buffer spoilt(Buffer answer, int form) {
-    String text = answer.toString();
-    return Buffer.buffer(
-        switch (form) {
-          case 0 -> "\u0007\u0001~~~ noise\r\n";
-          case 1 -> text.replaceFirst(" O[0-9a-f]", " Oz");
-          case 2 -> text.replaceFirst("VA \\d+", "VA 3").replaceFirst("^(EN|HD|SERV)", "V$1");
-          case 3 -> text.substring(0, text.length() / 2);
-          case 4 -> "VA 3000000000 O0\r\n" + "x".repeat(300);
-          default -> "y".repeat(2000);
-        });
+  String withWrongId(String reply) {
+    return reply.replaceFirst(" O[0-9a-f]", " Oz");
+  }
+
+  @Override
+  String withWrongLength(String reply) {
+    return reply.replaceFirst("VA \\d+", "VA 3").replaceFirst("^(EN|HD|SERV)", "V$1");
+  }
+
+  @Override
+  String withExcessiveLength(String reply) {
+    return "VA 3000000000 O0\r\n" + "x".repeat(300);
   }
 }
--- a/src/main/java/pathgw/fake/FakeClients.java
+++ b/src/main/java/pathgw/fake/FakeClients.java
@@ -62,6 +62,10 @@
     public double rude;
   }
 
+  /** Arrivals never cease entirely: the next one looks at the behaviour again. */
+  private static final double MIN_REQUESTS_PER_SECOND = 0.1;
+
+  private static final double MIN_MALFORMED_PER_SECOND = 0.2;
   private static final int MAX_IDLE_CONNECTIONS_PER_PROXY = 24;
   private static final int MAX_ATTEMPTS = 3;
   private static final int MIN_ATTEMPT_TIMEOUT_MS = 20;
@@ -79,8 +83,10 @@
   private final List<String> tenants;
   private final Habits behavior = new Habits();
   private final LoadBalancer loadBalancer;
-  private final ClientTraffic traffic;
-  private final MalformedTraffic malformedTraffic;
+  private final RequestGenerator requestGenerator;
+  private final PoissonProcess requestArrivals;
+  private final PoissonProcess malformedArrivals;
+  private final String malformedRequestClass;
   private final List<Deque<ClientConnection>> idleConnections = new ArrayList<>();
   private boolean stopped;
 
@@ -110,18 +116,27 @@
     this.observer = observer;
     this.tenants = tenants;
     loadBalancer = new LoadBalancer(clock, random, proxies, uneven);
-    traffic =
-        new ClientTraffic(
+    requestGenerator =
+        new RequestGenerator(
             clock,
             random,
             behavior,
             requestClasses,
             tenants.size(),
-            new ZipfDistribution(keys, skew),
-            request -> send(request, 0));
-    malformedTraffic =
-        new MalformedTraffic(
-            clock, random, behavior, connector, observer, proxies, requestClasses.get(0).name());
+            new ZipfDistribution(keys, skew));
+    requestArrivals =
+        new PoissonProcess(
+            clock,
+            random,
+            () -> Math.max(MIN_REQUESTS_PER_SECOND, behavior.rate),
+            () -> send(requestGenerator.next(), 0));
+    malformedArrivals =
+        new PoissonProcess(
+            clock,
+            random,
+            () -> Math.max(MIN_MALFORMED_PER_SECOND, behavior.rude),
+            this::sendMalformedInput);
+    malformedRequestClass = requestClasses.get(0).name();
     for (int i = 0; i < proxies; i++) {
       idleConnections.add(new ArrayDeque<>());
     }
@@ -135,15 +150,15 @@
   /** Starts all traffic, with every proxy in the load balancer's rotation. */
   public void start() {
     loadBalancer.addAll();
-    traffic.start();
-    malformedTraffic.start();
+    requestArrivals.start();
+    malformedArrivals.start();
   }
 
   /** Stops all traffic and closes the idle connections. */
   public void stop() {
     stopped = true;
-    traffic.stop();
-    malformedTraffic.stop();
+    requestArrivals.stop();
+    malformedArrivals.stop();
     idleConnections.forEach(pool -> List.copyOf(pool).forEach(ClientConnection::close));
   }
 
@@ -192,6 +207,17 @@
     clock.in(pause, () -> send(request, retries + 1));
   }
 
+  private void sendMalformedInput() {
+    if (behavior.rude <= 0) {
+      return;
+    }
+    int proxy = random.nextInt(idleConnections.size());
+    connector.open(
+        proxy,
+        side -> new MalformedClient(clock, random, observer, malformedRequestClass, side, proxy),
+        () -> {});
+  }
+
   /** Sends the next attempt of a request after a pause with some jitter. */
   void retry(ClientAttempt attempt, Duration pause) {
     clock.in(
--- a/src/main/java/pathgw/fake/FakeDiscovery.java
+++ b/src/main/java/pathgw/fake/FakeDiscovery.java
@@ -1,8 +1,6 @@
 package pathgw.fake;
 
-import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -11,19 +9,28 @@
 import java.util.Set;
 
 /**
- * The endpoint list: whole lists and watches over HTTP, in turn for all proxies; late, down or
- * refusing at times.
+ * The discovery service: serves the endpoint list over HTTP to all proxies, complete or as a watch
+ * that sends changes. On command it answers late, rejects calls, goes down or leaves watches
+ * silent.
  */
 public final class FakeDiscovery {
+  /** The health of an endpoint that is removed from the list. */
+  static final String GONE = "gone";
+
   /**
-   * One line of the list.
+   * One endpoint of the list.
    *
+   * @param host its name
+   * @param dial its address, as host and port
+   * @param site its zone
+   * @param kind its kind of machine
+   * @param block its cell
    * @param health {@code ready}, {@code draining} or {@code gone}
-   * @param bornMs when it last started, Unix time; 0 for long ago
+   * @param bornMs when it last started, in milliseconds of Unix time; 0 for long ago
    */
   public record Entry(
       String host, String dial, String site, String kind, int block, String health, long bornMs) {
-    public String json() {
+    String json() {
       return "{\"host\":\""
           + host
           + "\",\"dial\":\""
@@ -40,111 +47,84 @@
           + bornMs
           + "}";
     }
-
-    public Entry is(String health) {
-      return new Entry(host, dial, site, kind, block, health, bornMs);
-    }
   }
 
-  private record Change(long seq, Entry entry) {}
-
-  private static final Duration KEEP_ALIVE = Duration.ofSeconds(2);
-
-  /** So many changes are kept; who lags further behind gets the whole list. */
-  private static final int CHANGES = 16;
-
-  private static final Duration LONGEST_WAIT = Duration.ofSeconds(3);
-
-  private final Clock clock;
-  private final Random chance;
-  private final BackendObserver observer;
-  private final Map<String, Entry> entries = new LinkedHashMap<>();
-  private final List<Change> changes = new ArrayList<>();
-  private final Set<Conversation> talks = new LinkedHashSet<>();
-  private final Map<String, Duration> deaf = new LinkedHashMap<>();
-  private long seq = 1;
+  final Clock clock;
+  final Random random;
+  final BackendObserver observer;
+  final EndpointHistory history = new EndpointHistory();
+  final CallQueue calls;
+  private final Set<DiscoveryConnection> connections = new LinkedHashSet<>();
+  private final Map<String, Duration> silentSince = new LinkedHashMap<>();
   private boolean down;
-  private double refuses;
-  private Duration late = Duration.ZERO;
-  private double calls;
-  private Duration busyUntil = Duration.ZERO;
+  private double refusedShare;
+  private Duration maxDelay = Duration.ZERO;
 
-  public FakeDiscovery(Clock clock, Random chance, BackendObserver observer) {
+  /** Creates a service with an empty list. */
+  public FakeDiscovery(Clock clock, Random random, BackendObserver observer) {
     this.clock = clock;
-    this.chance = chance;
+    this.random = random;
     this.observer = observer;
+    calls = new CallQueue(clock);
   }
 
+  /** Changes the list and sends the change to all watches. */
   public void change(Entry entry) {
-    seq++;
-    if (entry.health().equals("gone")) {
-      entries.remove(entry.host());
-    } else {
-      entries.put(entry.host(), entry);
-    }
-    changes.add(new Change(seq, entry));
-    if (changes.size() > CHANGES) {
-      changes.remove(0);
-    }
-    // What is told late is what was to be told then: a whole list may meanwhile have overtaken it.
-    long upTo = seq;
-    for (Conversation talk : List.copyOf(talks)) {
-      if (talk.follows) {
-        clock.in(lateness(), () -> talk.catchUp(upTo));
+    history.apply(entry);
+    // A delayed change is sent as of now: a complete list may have overtaken it by then.
+    long version = history.version();
+    for (DiscoveryConnection connection : List.copyOf(connections)) {
+      if (connection.watching()) {
+        clock.in(drawDelay(), () -> connection.sendChanges(version));
       }
     }
   }
 
-  /** Whether it still has a node so; one that is gone it does not name. */
+  /** Whether the list has a host in this state; a host that it does not name is gone. */
   public boolean says(String host, String health) {
-    Entry now = entries.get(host);
-    return health.equals(now == null ? "gone" : now.health());
+    return history.health(host).equals(health);
   }
 
+  /** The version of the list. */
   public long seq() {
-    return seq;
+    return history.version();
   }
 
+  /** The endpoints of the list in their order. */
   public List<Entry> entries() {
-    return List.copyOf(entries.values());
+    return List.copyOf(history.entries());
   }
 
-  /** What a change takes until it is written to who watches. */
+  /** Sets the longest delay of an answer or a change. */
   public void late(Duration late) {
-    this.late = late;
+    maxDelay = late;
   }
 
-  private Duration lateness() {
-    return Duration.ofNanos(1 + (long) (late.toNanos() * chance.nextDouble()));
+  /** Draws the delay of an answer or a change. */
+  Duration drawDelay() {
+    return Duration.ofNanos(1 + (long) (maxDelay.toNanos() * random.nextDouble()));
   }
 
+  /** Sets the share of calls that are rejected or reset, 0 to 1. */
   public void refuses(double share) {
-    refuses = share;
+    refusedShare = share;
+  }
+
+  /** Draws whether a call is refused; draws nothing while none is. */
+  boolean drawRefusal() {
+    return refusedShare > 0 && random.nextDouble() < refusedShare;
   }
 
   /**
-   * Limits the calls that are worked off.
+   * Limits the rate at which calls are processed.
    *
-   * @param calls a second that are worked off, in turn; 0 for any number
+   * @param callsPerSecond zero for no limit
    */
-  public void takes(double calls) {
-    this.calls = calls;
-  }
-
-  /** When a call has its turn; null if it would wait too long. */
-  private Duration turn() {
-    if (calls == 0) {
-      return Duration.ZERO;
-    }
-    Duration begins = busyUntil.compareTo(clock.now()) < 0 ? clock.now() : busyUntil;
-    Duration waits = begins.minus(clock.now());
-    if (waits.compareTo(LONGEST_WAIT) > 0) {
-      return null;
-    }
-    busyUntil = begins.plusNanos((long) (1e9 / calls));
-    return waits;
+  public void takes(double callsPerSecond) {
+    calls.limit(callsPerSecond);
   }
 
+  /** Goes down, which ends all connections, or comes up again. */
   public void down(boolean down) {
     this.down = down;
     if (down) {
@@ -152,174 +132,59 @@
     }
   }
 
-  /** Open watches stay open and say nothing more; new ones are served. */
+  /** Leaves a share of the open watches open but silent; new ones are served. */
   public void silenceWatches(double share) {
-    for (Conversation talk : talks) {
-      if (talk.follows && !talk.silent && chance.nextDouble() < share) {
-        talk.silent = true;
-        deaf.put(talk.from, clock.now());
+    for (DiscoveryConnection connection : connections) {
+      if (connection.sendsChanges() && random.nextDouble() < share) {
+        connection.silence();
+        silentSince.put(connection.from(), clock.now());
       }
     }
   }
 
   /**
-   * Since when a proxy's watch has been silent with nothing answered to it since, whether or not it
-   * has asked; null where it hears.
+   * Since when a proxy's watch has been silent without an answer to any later call of the proxy;
+   * null where it is not.
    */
   public Duration deafSince(String proxy) {
-    return deaf.get(proxy);
+    return silentSince.get(proxy);
+  }
+
+  /** A call of this proxy is answered. */
+  void heard(String proxy) {
+    silentSince.remove(proxy);
   }
 
+  /** Closes all connections. */
   public void endWatches() {
-    List.copyOf(talks)
-        .forEach(
-            talk -> {
-              talk.side.close();
-              talk.over();
-            });
+    List.copyOf(connections).forEach(DiscoveryConnection::close);
   }
 
-  /** The list as a proxy last had it, for its configuration. */
+  /** The complete list as JSON. */
   public String whole() {
-    StringBuilder text = new StringBuilder("{\"seq\":" + seq + ",\"whole\":true,\"hosts\":[");
-    entries
-        .values()
-        .forEach(
-            e -> text.append(text.charAt(text.length() - 1) == '[' ? "" : ",").append(e.json()));
-    return text.append("]}").toString();
+    return history.completeJson();
   }
 
   /**
    * Takes a connection.
    *
-   * @return what it makes of the connection, or null while it is down
+   * @param from the proxy that connects
+   * @return the handler of the connection, or null while the service is down
    */
   public ConnectionHandler accept(String from, ConnectionSide side) {
-    return down ? null : new Conversation(from, side);
-  }
-
-  private final class Conversation implements ConnectionHandler {
-    private final String from;
-    private final ConnectionSide side;
-    private final RecordCutter cutter = new RecordCutter(this::line);
-    private String path;
-    private long has = -1;
-    private boolean follows;
-    private boolean silent;
-
-    private Conversation(String from, ConnectionSide side) {
-      this.from = from;
-      this.side = side;
-      talks.add(this);
-    }
-
-    @Override
-    public void came(Buffer bytes) {
-      cutter.take(bytes);
-    }
-
-    private void line(byte[] bytes, int at, int to) {
-      String line = Request.text(bytes, at, to);
-      if (line.startsWith("GET ")) {
-        path = line.split(" ")[1];
-      } else if (line.isEmpty() && path != null) {
-        String asked = path;
-        path = null;
-        Duration turn = turn();
-        if (turn == null) {
-          later();
-        } else {
-          clock.in(lateness().plusMillis(1).plus(turn), () -> answer(asked));
-        }
-      }
-    }
-
-    private void answer(String asked) {
-      if (!talks.contains(this)) {
-        return;
-      }
-      if (refuses > 0 && chance.nextDouble() < refuses) {
-        if (chance.nextBoolean()) {
-          side.reset();
-          over();
-        } else {
-          later();
-        }
-        return;
-      }
-      deaf.remove(from);
-      if (!asked.contains("follow=1")) {
-        String list = whole();
-        side.write(
-            Buffer.buffer(
-                "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list));
-        tellWhole();
-        return;
-      }
-      int since = asked.indexOf("since=");
-      has = since < 0 ? -1 : Long.parseLong(asked.substring(since + 6));
-      side.write(Buffer.buffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
-      follows = true;
-      // The first line always comes, also where nothing has changed: it tells that the list is up
-      // to
-      // date.
-      if (has == seq) {
-        chunk("{\"seq\":" + seq + ",\"whole\":false,\"hosts\":[]}\n");
-      } else {
-        catchUp(seq);
-      }
-      keepAlive();
-    }
-
-    private void later() {
-      side.write(Buffer.buffer("HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n"));
-    }
-
-    private void keepAlive() {
-      clock.in(
-          KEEP_ALIVE,
-          () -> {
-            if (talks.contains(this) && !silent) {
-              chunk("\n");
-              keepAlive();
-            }
-          });
-    }
-
-    private void catchUp(long upTo) {
-      if (!talks.contains(this) || silent || has >= upTo) {
-        return;
-      }
-      boolean known =
-          has >= 0 && has < seq && !changes.isEmpty() && changes.get(0).seq() <= has + 1;
-      if (!known) {
-        chunk(whole() + "\n");
-        tellWhole();
-        has = seq;
-      } else {
-        List<Change> missed =
-            changes.stream().filter(c -> c.seq() > has && c.seq() <= upTo).toList();
-        StringBuilder text = new StringBuilder("{\"seq\":" + upTo + ",\"whole\":false,\"hosts\":[");
-        missed.forEach(
-            c -> text.append(c.equals(missed.get(0)) ? "" : ",").append(c.entry().json()));
-        chunk(text.append("]}\n").toString());
-        missed.forEach(c -> observer.told(from, c.entry().host(), c.entry().health(), upTo));
-        has = upTo;
-      }
-    }
-
-    private void tellWhole() {
-      entries.values().forEach(e -> observer.told(from, e.host(), e.health(), seq));
-      observer.told(from, "", "", seq);
+    if (down) {
+      return null;
     }
+    DiscoveryConnection connection = new DiscoveryConnection(this, from, side);
+    connections.add(connection);
+    return connection;
+  }
 
-    private void chunk(String text) {
-      side.write(Buffer.buffer(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n"));
-    }
+  boolean isOpen(DiscoveryConnection connection) {
+    return connections.contains(connection);
+  }
 
-    @Override
-    public void over() {
-      talks.remove(this);
-    }
+  void ended(DiscoveryConnection connection) {
+    connections.remove(connection);
   }
 }
--- a/src/main/java/pathgw/fake/FakeOrigin.java
+++ b/src/main/java/pathgw/fake/FakeOrigin.java
@@ -9,16 +9,22 @@
 import java.util.function.IntConsumer;
 
 /**
- * The origin: has every key, takes far less than all requests, and goes down for a while when
- * overdriven.
+ * The origin, which speaks HTTP. It has every key, can take far less than all requests, and goes
+ * down for a while when overloaded with reads.
  */
 public final class FakeOrigin extends FakeServer {
   /**
-   * What it bears.
+   * What the origin can take.
    *
-   * @param fallMultiple over this many times its capacity for {@code fallFor} it goes down; 0 for
-   *     never
-   * @param memory of marked requests
+   * @param slots how many requests it works on at a time
+   * @param service the mean work of one request
+   * @param queue how many requests may wait
+   * @param connections how many connections it accepts
+   * @param idle how long a connection may stand idle
+   * @param fallMultiple it goes down when it receives more reads than this multiple of its capacity
+   *     for {@code fallFor}; 0 for never
+   * @param downFor how long it stays down
+   * @param memory how long it remembers idempotency keys
    */
   public record Figures(
       int slots,
@@ -29,54 +35,64 @@
       double fallMultiple,
       Duration fallFor,
       Duration downFor,
-      Duration memory) {}
+      Duration memory) {
+    private ServerLimits limits() {
+      return new ServerLimits(slots, service, queue, connections, idle);
+    }
+  }
 
-  /** What follows from an answer at the nodes. */
+  /** What the origin's results mean for the values stored at the cache nodes. */
   public interface Copies {
-    /** The origin has answered a read that had missed. */
+    /** The origin answers a read that had missed. */
     void fetched(Request request, int version);
 
-    /** A write has made all copies of a key old. */
+    /** A write has made all stored values of a key stale. */
     void outdated(String key);
   }
 
+  /** What the callback of a failed read receives in place of a version. */
+  static final int READ_FAILED = -1;
+
+  private static final double OVERLOAD_SLACK_ROOTS = 3;
+  private static final double OVERLOAD_SLACK_REQUESTS = 4;
+  private static final Duration FAILURE_DELAY = Duration.ofMillis(2);
+
+  /** One of so many replies has no length, and one of so many follows an interim response. */
+  private static final int UNUSUAL_REPLY_ONE_OF = 16;
+
+  private static final int RECEIPT_RADIX = 36;
+
   private final Figures figures;
-  private final Copies nodes;
+  private final Copies copies;
   private final DedupMemory memory;
-  private final WorkerQueue workers;
-  private final OverloadWindow pressure;
+  private final OverloadWindow load;
   private final Map<String, Integer> versions = new TreeMap<>();
   private Duration downUntil = Duration.ZERO;
   private long receipts;
   private long fetches;
 
+  /** Creates an origin in which every key has version 0. */
   public FakeOrigin(
       String name,
       Clock clock,
-      Random chance,
+      Random random,
       BackendObserver observer,
       FaultInjection faults,
       Figures figures,
-      Copies nodes) {
-    super(name, clock, chance, observer, faults, figures.connections(), figures.idle());
+      Copies copies) {
+    super(name, clock, random, observer, faults, figures.limits());
     this.figures = figures;
-    this.nodes = nodes;
+    this.copies = copies;
     memory = new DedupMemory(figures.memory());
-    workers =
-        new WorkerQueue(
-            clock,
-            chance,
-            figures.slots(),
-            figures.service(),
-            figures.queue(),
-            () -> faults.slower);
-    pressure = new OverloadWindow(figures.fallFor(), 3, 4);
+    load = new OverloadWindow(figures.fallFor(), OVERLOAD_SLACK_ROOTS, OVERLOAD_SLACK_REQUESTS);
   }
 
+  /** The number of reads that have arrived. */
   public long fetches() {
     return fetches;
   }
 
+  /** The number of writes to a key so far. */
   public int version(String key) {
     return versions.getOrDefault(key, 0);
   }
@@ -85,143 +101,131 @@
     return clock.now().compareTo(downUntil) < 0;
   }
 
-  private void arrived(Request request, String from) {
+  private void countRead(Request request, String from) {
     fetches++;
-    pressure.arrived(clock.now(), from, request.id());
-    double capacity = figures.slots() * 1e9 / figures.service().toNanos();
-    if (figures.fallMultiple() > 0 && !down() && pressure.over(figures.fallMultiple() * capacity)) {
-      observer.collapsed(pressure.work());
+    load.add(clock.now(), from, request.id());
+    double limit = figures.fallMultiple() * limits.requestsPerSecond();
+    if (figures.fallMultiple() > 0 && !down() && load.exceeds(limit)) {
+      observer.collapsed(load.arrivals());
       downUntil = clock.now().plus(figures.downFor());
     }
   }
 
   /**
-   * For a node that fetches by itself.
+   * Reads for a cache node that fetches what it lacks.
    *
-   * @param version hears the version, or -1 for a failure
+   * @param version receives the version, or {@link #READ_FAILED}
    */
   void read(Request request, String from, IntConsumer version) {
-    arrived(request, from);
+    countRead(request, from);
     if (down() || workers.full()) {
-      clock.in(Duration.ofMillis(2), () -> version.accept(-1));
+      clock.in(FAILURE_DELAY, () -> version.accept(READ_FAILED));
     } else {
-      workers.work(() -> version.accept(version(request.key())));
+      workers.submit(() -> version.accept(version(request.key())));
     }
   }
 
   /**
-   * For a node that passes writes on.
+   * Writes for a cache node that forwards writes.
    *
-   * @param receipt hears the receipt, or null for a failure
+   * @param receipt receives the receipt, or null for a failure
    */
   void write(Request request, Consumer<String> receipt) {
     if (down() || workers.full()) {
-      clock.in(Duration.ofMillis(2), () -> receipt.accept(null));
+      clock.in(FAILURE_DELAY, () -> receipt.accept(null));
     } else {
-      workers.work(() -> receipt.accept(written(request)));
+      workers.submit(() -> receipt.accept(applyWrite(request)));
     }
   }
 
-  private String written(Request request) {
+  private String applyWrite(Request request) {
     versions.merge(request.key(), 1, Integer::sum);
-    nodes.outdated(request.key());
-    return Long.toString(++receipts, 36) + "-" + name;
+    copies.outdated(request.key());
+    receipts++;
+    return Long.toString(receipts, RECEIPT_RADIX) + "-" + name;
   }
 
   @Override
-  RequestReader reader(Conversation talk) {
-    return RequestReader.http(talk::take, talk::unreadable);
+  RequestReader reader(Consumer<Request> request, Runnable unreadable) {
+    return RequestReader.http(request, unreadable);
   }
 
   @Override
-  boolean refuses() {
+  double slowdown() {
+    return faults.slower;
+  }
+
+  @Override
+  boolean rejectsAll() {
     return down();
   }
 
   @Override
-  void serve(Request request, Reply reply) {
+  DedupMemory memory() {
+    return memory;
+  }
+
+  @Override
+  boolean survivesArrival(Request request, String from) {
     if (!request.write()) {
-      arrived(request, reply.from());
-    }
-    if (down() || workers.full()) {
-      turnAway(request, reply);
-      return;
+      countRead(request, from);
     }
-    String mark = request.label('k');
-    boolean again =
-        request.write()
-            && !mark.isEmpty()
-            && memory.repeats(mark, clock.now(), receipt -> receipt(request, reply, receipt));
-    observer.ran(name, request, again);
-    if (again) {
-      return;
-    }
-    workers.work(
-        () -> {
-          if (faults.fails > 0 && chance.nextDouble() < faults.fails) {
-            reply.give(failed(request));
-          } else if (request.write()) {
-            String receipt = written(request);
-            memory.done(request.label('k'), receipt);
-            receipt(request, reply, receipt);
-          } else {
-            int version = version(request.key());
-            nodes.fetched(request, version);
-            String value = "v" + version + ":" + request.key() + ":" + request.id() + ":" + name;
-            observer.made(name, request, value);
-            answer(request, reply, value);
-          }
-        });
-  }
-
-  /** Some answers have no length: they end with their connection, or are reset on the way. */
-  private void answer(Request request, Reply reply, String body) {
-    if (chance.nextInt(16) == 0) {
-      reply.giveLast(
-          Buffer.buffer("HTTP/1.1 200 OK\r\nX-Txn: " + request.id() + "\r\n\r\n" + body));
+    return true;
+  }
+
+  @Override
+  void execute(Request request, PendingReply reply) {
+    if (happens(faults.fails)) {
+      reply.send(failure());
+    } else if (request.write()) {
+      completeWrite(request, reply, applyWrite(request));
     } else {
-      reply.give(http(request, body));
+      int version = version(request.key());
+      copies.fetched(request, version);
+      sendOk(request, reply, makeValue(request, version));
     }
   }
 
-  private void receipt(Request request, Reply reply, String receipt) {
-    observer.made(name, request, receipt);
-    answer(request, reply, receipt);
+  @Override
+  void sendReceipt(Request request, PendingReply reply, String receipt) {
+    sendOk(request, reply, receipt);
   }
 
-  private Buffer http(Request request, String body) {
-    String ahead = chance.nextInt(16) == 0 ? "HTTP/1.1 102 Processing\r\n\r\n" : "";
-    return Buffer.buffer(
-        ahead
-            + "HTTP/1.1 200 OK\r\nX-Txn: "
-            + request.id()
-            + "\r\nContent-Length: "
-            + body.length()
-            + "\r\n\r\n"
-            + body);
+  /** Sends a body; some replies have no length and end with their connection. */
+  private void sendOk(Request request, PendingReply reply, String body) {
+    String head = "HTTP/1.1 200 OK\r\nX-Txn: " + request.id() + "\r\n";
+    if (random.nextInt(UNUSUAL_REPLY_ONE_OF) == 0) {
+      reply.sendLast(Buffer.buffer(head + "\r\n" + body));
+      return;
+    }
+    boolean interim = random.nextInt(UNUSUAL_REPLY_ONE_OF) == 0;
+    String before = interim ? "HTTP/1.1 102 Processing\r\n\r\n" : "";
+    String length = "Content-Length: " + body.length() + "\r\n";
+    reply.send(Buffer.buffer(before + head + length + "\r\n" + body));
   }
 
   @Override
-  Buffer turnedAway(Request request) {
+  Buffer rejection() {
     return Buffer.buffer("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n");
   }
 
   @Override
-  Buffer failed(Request request) {
+  Buffer failure() {
     return Buffer.buffer("HTTP/1.1 500 Failed\r\nContent-Length: 1\r\n\r\nx");
   }
 
   @Override
-  Buffer spoilt(Buffer answer, int form) {
-    String text = answer.toString();
-    return Buffer.buffer(
-        switch (form) {
-          case 0 -> "\u0007\u0001~~~ noise\r\n";
-          case 1 -> text.replaceFirst("X-Txn: [0-9a-f]", "X-Txn: z").replaceFirst(" 50", " 999 50");
-          case 2 -> text.replaceFirst("Content-Length: ", "Content-Length: 1\r\nContent-Length: ");
-          case 3 -> text.substring(0, text.length() / 2);
-          case 4 -> text.replaceFirst("Content-Length: \\d+", "Content-Length: 3000000000");
-          default -> "y".repeat(2000);
-        });
+  String withWrongId(String reply) {
+    return reply.replaceFirst("X-Txn: [0-9a-f]", "X-Txn: z").replaceFirst(" 50", " 999 50");
+  }
+
+  @Override
+  String withWrongLength(String reply) {
+    return reply.replaceFirst("Content-Length: ", "Content-Length: 1\r\nContent-Length: ");
+  }
+
+  @Override
+  String withExcessiveLength(String reply) {
+    return reply.replaceFirst("Content-Length: \\d+", "Content-Length: 3000000000");
   }
 }
--- a/src/main/java/pathgw/fake/FakeServer.java
+++ b/src/main/java/pathgw/fake/FakeServer.java
@@ -2,221 +2,202 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
-import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Random;
+import java.util.function.Consumer;
 
 /**
- * What a cache node and the origin share: connections with answers in their order, workers,
- * mischief.
+ * What the fake cache node and the fake origin share: a bounded number of connections, a bounded
+ * queue of work, idempotency keys and injected faults. A subclass has its own protocol, storage and
+ * behaviour under overload.
  */
 abstract class FakeServer {
+  /** The ways in which a reply is made invalid. */
+  private enum Corruption {
+    NOISE,
+    WRONG_ID,
+    WRONG_LENGTH,
+    TRUNCATED,
+    EXCESSIVE_LENGTH,
+    NO_LINE_END
+  }
+
+  private static final List<Corruption> CORRUPTIONS = List.of(Corruption.values());
+  private static final int UNTERMINATED_BYTES = 2000;
+  private static final char IDEMPOTENCY_KEY_LABEL = 'k';
+
   final String name;
   final Clock clock;
-  final Random chance;
+  final Random random;
   final BackendObserver observer;
   final FaultInjection faults;
-  private final int mostConnections;
-  private final Duration idle;
+  final ServerLimits limits;
+  final WorkerQueue workers;
   private int connections;
 
+  /**
+   * Creates a server without connections.
+   *
+   * @param name as observers know it
+   * @param random the source of all random choices
+   * @param faults what goes wrong at present; the caller changes it at any time
+   */
   FakeServer(
       String name,
       Clock clock,
-      Random chance,
+      Random random,
       BackendObserver observer,
       FaultInjection faults,
-      int mostConnections,
-      Duration idle) {
+      ServerLimits limits) {
     this.name = name;
     this.clock = clock;
-    this.chance = chance;
+    this.random = random;
     this.observer = observer;
     this.faults = faults;
-    this.mostConnections = mostConnections;
-    this.idle = idle;
-  }
-
-  /** What a request is owed on its connection; given once. */
-  public static final class Reply {
-    private final Conversation on;
-    private Buffer answer;
-    private boolean ready;
-    private boolean last;
-
-    private Reply(Conversation on) {
-      this.on = on;
-    }
-
-    /**
-     * Gives the answer.
-     *
-     * @param answer the whole answer; null leaves the request without one
-     */
-    void give(Buffer answer) {
-      this.answer = answer;
-      ready = true;
-      on.flush();
-    }
-
-    /** An answer that says nothing of its length: the end of its connection is its own. */
-    void giveLast(Buffer answer) {
-      last = true;
-      give(answer);
-    }
-
-    String from() {
-      return on.from;
-    }
+    this.limits = limits;
+    workers = new WorkerQueue(clock, random, limits, this::slowdown);
   }
 
   /**
    * Takes a connection.
    *
-   * @return what it makes of the connection, or null where it takes no more
+   * @param from the proxy that connects
+   * @return the handler of the connection, or null where the server accepts no more
    */
   public final ConnectionHandler accept(String from, ConnectionSide side) {
-    return connections >= mostConnections ? null : new Conversation(from, side);
+    if (connections >= limits.maxConnections()) {
+      return null;
+    }
+    connections++;
+    return new ServerConnection(this, from, side);
   }
 
+  /** The number of open connections. */
   public final int connections() {
     return connections;
   }
 
-  abstract RequestReader reader(Conversation talk);
+  final void connectionEnded() {
+    connections--;
+  }
+
+  final Duration idleTimeout() {
+    return limits.idleTimeout();
+  }
+
+  /** Creates a reader of this server's protocol. */
+  abstract RequestReader reader(Consumer<Request> request, Runnable unreadable);
 
-  abstract void serve(Request request, Reply reply);
+  /** How many times its usual time work takes at present. */
+  abstract double slowdown();
 
-  abstract Buffer turnedAway(Request request);
+  /** Whether the server rejects every request at present. */
+  abstract boolean rejectsAll();
 
-  abstract Buffer failed(Request request);
+  /**
+   * Counts an arriving request against the server's capacity.
+   *
+   * @return false where the server crashed of it
+   */
+  abstract boolean survivesArrival(Request request, String from);
 
-  /** Whether this place turns everything away. */
-  abstract boolean refuses();
+  /** The memory of idempotency keys that this server uses. */
+  abstract DedupMemory memory();
 
-  /** What cannot be told from an answer until it is read closely. */
-  abstract Buffer spoilt(Buffer answer, int form);
+  /** Does the work of a request at the end of its service time, and replies. */
+  abstract void execute(Request request, PendingReply reply);
 
-  private boolean happens(double share) {
-    return share > 0 && chance.nextDouble() < share;
-  }
+  /** Replies to a write. */
+  abstract void sendReceipt(Request request, PendingReply reply, String receipt);
 
-  final void turnAway(Request request, Reply reply) {
-    observer.turnedAway(name, request);
-    reply.give(turnedAway(request));
+  /** The reply to a request that was not taken on. */
+  abstract Buffer rejection();
+
+  /** The reply to a request that ran and failed. */
+  abstract Buffer failure();
+
+  /** Makes the request's id in a reply that of another request. */
+  abstract String withWrongId(String reply);
+
+  /** Makes a reply contradict its length. */
+  abstract String withWrongLength(String reply);
+
+  /** Gives a reply a length that no reader accepts. */
+  abstract String withExcessiveLength(String reply);
+
+  /** Makes an invalid reply out of a valid one, in a random way. */
+  final Buffer corrupt(Buffer reply) {
+    Corruption corruption = CORRUPTIONS.get(random.nextInt(CORRUPTIONS.size()));
+    String text = reply.toString();
+    return Buffer.buffer(
+        switch (corruption) {
+          case NOISE -> "\u0007\u0001~~~ noise\r\n";
+          case WRONG_ID -> withWrongId(text);
+          case WRONG_LENGTH -> withWrongLength(text);
+          case TRUNCATED -> text.substring(0, text.length() / 2);
+          case EXCESSIVE_LENGTH -> withExcessiveLength(text);
+          case NO_LINE_END -> "y".repeat(UNTERMINATED_BYTES);
+        });
   }
 
-  /** One connection and the answers that are owed on it, in order. */
-  final class Conversation implements ConnectionHandler {
-    private final String from;
-    private final ConnectionSide side;
-    private final RequestReader requests = reader(this);
-    private final ArrayDeque<Reply> owed = new ArrayDeque<>();
-    private Duration usedAt = clock.now();
-    private boolean over;
-
-    private Conversation(String from, ConnectionSide side) {
-      this.from = from;
-      this.side = side;
-      connections++;
-      closeIfIdle();
-    }
+  /** Draws whether a fault happens; draws nothing while its share is zero. */
+  final boolean happens(double share) {
+    return share > 0 && random.nextDouble() < share;
+  }
 
-    private void closeIfIdle() {
-      Duration left = usedAt.plus(idle).minus(clock.now());
-      if (over) {
-        return;
-      } else if (owed.isEmpty() && left.toNanos() <= 0) {
-        side.close();
-        over();
+  /** Rejects a request or takes it on. */
+  final void handle(Request request, PendingReply reply) {
+    if (rejectsAll() || happens(faults.busy)) {
+      reject(request, reply);
+    } else if (survivesArrival(request, reply.from())) {
+      // The arrival may have overloaded the server.
+      if (rejectsAll() || workers.full()) {
+        reject(request, reply);
       } else {
-        clock.in(left.toNanos() > 0 ? left : idle, this::closeIfIdle);
+        runOnce(request, reply);
       }
     }
+  }
 
-    @Override
-    public void came(Buffer bytes) {
-      if (!over) {
-        requests.take(bytes);
-      }
-    }
+  private void reject(Request request, PendingReply reply) {
+    observer.turnedAway(name, request);
+    reply.send(rejection());
+  }
 
-    void unreadable() {
-      side.close();
-      over();
+  /** A write whose idempotency key is known does not run: it gets the first one's receipt. */
+  private void runOnce(Request request, PendingReply reply) {
+    String idempotencyKey = idempotencyKey(request);
+    boolean repeated =
+        request.write()
+            && !idempotencyKey.isEmpty()
+            && memory()
+                .isRepeat(
+                    idempotencyKey, clock.now(), receipt -> acknowledge(request, reply, receipt));
+    observer.ran(name, request, repeated);
+    if (!repeated) {
+      workers.submit(() -> execute(request, reply));
     }
+  }
 
-    void take(Request request) {
-      usedAt = clock.now();
-      if (happens(faults.closes)) {
-        observer.turnedAway(name, request);
-        side.close();
-        over();
-        return;
-      }
-      boolean resets = happens(faults.resets);
-      if (resets && chance.nextBoolean()) {
-        side.reset();
-        over();
-        return;
-      }
-      Reply reply = new Reply(this);
-      owed.add(reply);
-      if (refuses() || happens(faults.busy)) {
-        turnAway(request, reply);
-      } else {
-        serve(request, reply);
-      }
-      if (resets) {
-        clock.in(
-            Duration.ofMillis(chance.nextInt(30)),
-            () -> {
-              side.reset();
-              over();
-            });
-      }
-    }
+  /** Replies to a write that has run, and to all repeats of it that wait. */
+  final void completeWrite(Request request, PendingReply reply, String receipt) {
+    memory().complete(idempotencyKey(request), receipt);
+    acknowledge(request, reply, receipt);
+  }
 
-    private void flush() {
-      while (!over && !owed.isEmpty() && owed.peek().ready) {
-        Reply reply = owed.poll();
-        Buffer answer = reply.answer;
-        if (answer == null) {
-          // Left in the middle of nothing: what else waits on this connection waits in vain.
-          return;
-        }
-        usedAt = clock.now();
-        if (reply.last) {
-          end(answer);
-        } else if (happens(faults.spoils)) {
-          side.write(spoilt(answer, chance.nextInt(6)));
-        } else if (happens(faults.extra) && owed.isEmpty()) {
-          side.write(
-              answer
-                  .copy()
-                  .appendBuffer(chance.nextBoolean() ? answer : Buffer.buffer("what is this\r\n")));
-        } else {
-          side.write(answer);
-        }
-      }
-    }
+  private void acknowledge(Request request, PendingReply reply, String receipt) {
+    observer.made(name, request, receipt);
+    sendReceipt(request, reply, receipt);
+  }
 
-    private void end(Buffer answer) {
-      if (happens(faults.resets)) {
-        side.write(answer.slice(0, answer.length() - 3));
-        clock.in(Duration.ofMillis(5), side::reset);
-      } else {
-        side.write(answer);
-        side.close();
-      }
-      over();
-    }
+  private static String idempotencyKey(Request request) {
+    return request.label(IDEMPOTENCY_KEY_LABEL);
+  }
 
-    @Override
-    public void over() {
-      if (!over) {
-        over = true;
-        connections--;
-      }
-    }
+  /** The value of a read: unlike any other request's, so that mixed-up replies are found. */
+  final String makeValue(Request request, int version) {
+    String value = "v" + version + ":" + request.key() + ":" + request.id() + ":" + name;
+    observer.made(name, request, value);
+    return value;
   }
 }
--- a/src/main/java/pathgw/fake/MalformedClient.java
+++ b/src/main/java/pathgw/fake/MalformedClient.java
@@ -36,7 +36,7 @@
     openedAt = clock.now();
     form = random.nextInt(INPUTS.size());
     MalformedInput input = INPUTS.get(form);
-    String text = input.text(RandomValues.hexId(random), requestClass);
+    String text = input.text(RandomIds.next(random), requestClass);
     if (!text.isEmpty()) {
       side.write(Buffer.buffer(text));
     }
@@ -50,7 +50,7 @@
 
   @Override
   public void came(Buffer bytes) {
-    cutter.take(bytes);
+    cutter.add(bytes);
   }
 
   private void line(byte[] bytes, int from, int to) {
--- a/src/main/java/pathgw/fake/OverloadWindow.java
+++ b/src/main/java/pathgw/fake/OverloadWindow.java
@@ -4,42 +4,53 @@
 import java.util.ArrayDeque;
 import java.util.List;
 
-/** The work that arrived within a window, against what the place bears. */
+/**
+ * The arrivals of a sliding window, compared with a limit. The limit is raised by some slack, so
+ * that chance alone does not exceed it: a multiple of the square root of the permitted arrivals and
+ * a constant.
+ */
 final class OverloadWindow {
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final Duration window;
-  private final double roots;
-  private final double more;
-  private final ArrayDeque<BackendObserver.Arrival> work = new ArrayDeque<>();
+  private final double slackRoots;
+  private final double slackArrivals;
+  private final ArrayDeque<BackendObserver.Arrival> arrivals = new ArrayDeque<>();
 
   /**
-   * @param roots of what is borne, and {@code more}: what is put down to chance
+   * Creates an empty window.
+   *
+   * @param slackRoots slack in square roots of the permitted arrivals
+   * @param slackArrivals slack in arrivals
    */
-  OverloadWindow(Duration window, double roots, double more) {
+  OverloadWindow(Duration window, double slackRoots, double slackArrivals) {
     this.window = window;
-    this.roots = roots;
-    this.more = more;
+    this.slackRoots = slackRoots;
+    this.slackArrivals = slackArrivals;
   }
 
-  void arrived(Duration now, String from, String id) {
-    long since = now.minus(window).toNanos();
-    while (!work.isEmpty() && work.peek().atNanos() < since) {
-      work.poll();
+  /** Adds an arrival and removes those that have left the window. */
+  void add(Duration now, String from, String requestId) {
+    long windowStart = now.minus(window).toNanos();
+    while (!arrivals.isEmpty() && arrivals.peek().atNanos() < windowStart) {
+      arrivals.poll();
     }
-    work.add(new BackendObserver.Arrival(now.toNanos(), from, id));
+    arrivals.add(new BackendObserver.Arrival(now.toNanos(), from, requestId));
   }
 
-  /** Whether it is over what is borne in the window, with some slack for chance. */
-  boolean over(double bornePerSecond) {
-    return part(bornePerSecond) > 1;
+  /** Whether more has arrived than a limit permits, slack included. */
+  boolean exceeds(double limitPerSecond) {
+    return utilization(limitPerSecond) > 1;
   }
 
-  /** How much of what is borne has come, with the same slack; over 1 it is too much. */
-  double part(double bornePerSecond) {
-    double borne = bornePerSecond * window.toNanos() / 1e9;
-    return work.size() / (borne + roots * Math.sqrt(borne) + more);
+  /** The arrivals as a share of what a limit permits, slack included. */
+  double utilization(double limitPerSecond) {
+    double permitted = limitPerSecond * window.toNanos() / NANOS_PER_SECOND;
+    return arrivals.size() / (permitted + slackRoots * Math.sqrt(permitted) + slackArrivals);
   }
 
-  List<BackendObserver.Arrival> work() {
-    return List.copyOf(work);
+  /** The arrivals in the window, in their order. */
+  List<BackendObserver.Arrival> arrivals() {
+    return List.copyOf(arrivals);
   }
 }
--- /dev/null
+++ b/src/main/java/pathgw/fake/PoissonProcess.java
@@ -0,0 +1,52 @@
+package pathgw.fake;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.function.DoubleSupplier;
+
+/** Runs a task at random times that do not depend on each other, at a rate that may change. */
+final class PoissonProcess {
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final Clock clock;
+  private final Random random;
+  private final DoubleSupplier eventsPerSecond;
+  private final Runnable onEvent;
+  private boolean stopped;
+
+  /**
+   * Creates a process that has not started.
+   *
+   * @param eventsPerSecond the rate, above zero; asked once for each pause
+   */
+  PoissonProcess(Clock clock, Random random, DoubleSupplier eventsPerSecond, Runnable onEvent) {
+    this.clock = clock;
+    this.random = random;
+    this.eventsPerSecond = eventsPerSecond;
+    this.onEvent = onEvent;
+  }
+
+  void start() {
+    scheduleNext();
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  private void scheduleNext() {
+    clock.in(
+        drawPause(),
+        () -> {
+          if (!stopped) {
+            onEvent.run();
+            scheduleNext();
+          }
+        });
+  }
+
+  private Duration drawPause() {
+    double meanPauses = -Math.log(1 - random.nextDouble());
+    return Duration.ofNanos((long) (meanPauses / eventsPerSecond.getAsDouble() * NANOS_PER_SECOND));
+  }
+}
--- /dev/null
+++ b/src/main/java/pathgw/fake/RandomIds.java
@@ -0,0 +1,13 @@
+package pathgw.fake;
+
+import java.util.Random;
+
+/** Ids of requests and idempotency keys. */
+final class RandomIds {
+  private RandomIds() {}
+
+  /** Draws an id of 16 hexadecimal digits. */
+  static String next(Random random) {
+    return String.format("%016x", random.nextLong());
+  }
+}
--- a/src/main/java/pathgw/fake/RecordCutter.java
+++ b/src/main/java/pathgw/fake/RecordCutter.java
@@ -1,75 +1,92 @@
 package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
-import java.util.Arrays;
 
 /**
- * Cuts what comes on a connection into lines that end with CRLF or LF, and pieces of a known size.
+ * Cuts the bytes of a connection into records: lines that end with CRLF or LF, and blocks of a
+ * known size.
  */
 final class RecordCutter {
-  /** Hears one record as a part of a buffer. */
-  interface Taker {
-    void take(byte[] bytes, int from, int to);
+  private static final int INITIAL_BYTES = 512;
+  private static final int NO_BLOCK = -1;
+
+  /** Receives one record as a range of a buffer that is valid during the call only. */
+  interface RecordConsumer {
+    void accept(byte[] bytes, int from, int to);
   }
 
-  private final Taker line;
-  private Taker piece;
-  private int size = -1;
-  private byte[] held = new byte[512];
+  private final RecordConsumer onLine;
+  private RecordConsumer onBlock;
+  private int blockSize = NO_BLOCK;
+  private byte[] buffer = new byte[INITIAL_BYTES];
   private int from;
   private int to;
-  private int seen;
 
-  RecordCutter(Taker line) {
-    this.line = line;
-  }
+  /** Bytes after {@code from} that have been searched for a line end. */
+  private int searched;
 
-  /** The next record has this size, and goes to {@code piece}. */
-  void expect(int size, Taker piece) {
-    this.size = size;
-    this.piece = piece;
+  /**
+   * Creates a cutter that expects a line.
+   *
+   * @param onLine receives each line without its end
+   */
+  RecordCutter(RecordConsumer onLine) {
+    this.onLine = onLine;
   }
 
-  /** Bytes held that are no whole record yet. */
-  int left() {
-    return to - from;
+  /** The next record is a block of this size; lines follow after it. */
+  void expect(int size, RecordConsumer onBlock) {
+    blockSize = size;
+    this.onBlock = onBlock;
   }
 
-  void take(Buffer bytes) {
-    if (to + bytes.length() > held.length) {
-      held =
-          Arrays.copyOfRange(held, from, Math.max(held.length, to - from + bytes.length()) + from);
-      to -= from;
-      from = 0;
-      held = Arrays.copyOf(held, Math.max(held.length, to + bytes.length()));
+  /** Adds bytes and delivers every record that is complete. */
+  void add(Buffer bytes) {
+    if (to + bytes.length() > buffer.length) {
+      makeRoom(bytes.length());
     }
-    bytes.getBytes(held, to);
+    bytes.getBytes(buffer, to);
     to += bytes.length();
-    while (cut()) {
-      seen = 0;
+    while (deliverNext()) {
+      searched = 0;
     }
   }
 
-  private boolean cut() {
-    if (size >= 0) {
-      if (to - from < size) {
-        return false;
-      }
-      int at = from;
-      from += size;
-      size = -1;
-      piece.take(held, at, from);
-      return true;
+  private void makeRoom(int length) {
+    int remaining = to - from;
+    byte[] larger = new byte[Math.max(buffer.length, remaining + length)];
+    System.arraycopy(buffer, from, larger, 0, remaining);
+    buffer = larger;
+    from = 0;
+    to = remaining;
+  }
+
+  private boolean deliverNext() {
+    return blockSize < 0 ? deliverLine() : deliverBlock();
+  }
+
+  private boolean deliverBlock() {
+    if (to - from < blockSize) {
+      return false;
     }
-    for (int i = from + seen; i < to; i++) {
-      if (held[i] == '\n') {
-        int at = from;
+    int start = from;
+    from += blockSize;
+    blockSize = NO_BLOCK;
+    onBlock.accept(buffer, start, from);
+    return true;
+  }
+
+  private boolean deliverLine() {
+    for (int i = from + searched; i < to; i++) {
+      if (buffer[i] == '\n') {
+        int start = from;
         from = i + 1;
-        line.take(held, at, i > at && held[i - 1] == '\r' ? i - 1 : i);
+        boolean crlf = i > start && buffer[i - 1] == '\r';
+        onLine.accept(buffer, start, crlf ? i - 1 : i);
         return true;
       }
     }
-    seen = to - from;
+    searched = to - from;
     return false;
   }
 }
--- a/src/main/java/pathgw/fake/ClientTraffic.java
+++ b/src/main/java/pathgw/fake/RequestGenerator.java
@@ -2,14 +2,9 @@
 
 import java.util.List;
 import java.util.Random;
-import java.util.function.Consumer;
 
-/**
- * Generates the clients' requests: arrivals of a Poisson process that wait for no answer, with
- * random request class, tenant and key.
- */
-final class ClientTraffic {
-  private static final double MIN_REQUESTS_PER_SECOND = 0.1;
+/** Draws the clients' requests: request class, tenant and key. */
+final class RequestGenerator {
   private static final String HOT_KEY = "khot";
 
   private final Clock clock;
@@ -18,58 +13,34 @@
   private final List<FakeClients.RequestClass> requestClasses;
   private final int tenants;
   private final ZipfDistribution keys;
-  private final Consumer<ClientRequest> requestSink;
-  private boolean stopped;
 
   /**
-   * Creates a generator that has not started.
+   * Creates a generator.
    *
+   * @param tenants how many tenants there are
    * @param keys popularity of the keys
-   * @param requestSink receives each request at the time of its arrival
    */
-  ClientTraffic(
+  RequestGenerator(
       Clock clock,
       Random random,
       FakeClients.Habits behavior,
       List<FakeClients.RequestClass> requestClasses,
       int tenants,
-      ZipfDistribution keys,
-      Consumer<ClientRequest> requestSink) {
+      ZipfDistribution keys) {
     this.clock = clock;
     this.random = random;
     this.behavior = behavior;
     this.requestClasses = requestClasses;
     this.tenants = tenants;
     this.keys = keys;
-    this.requestSink = requestSink;
   }
 
-  void start() {
-    scheduleNext();
-  }
-
-  void stop() {
-    stopped = true;
-  }
-
-  private void scheduleNext() {
-    double perSecond = Math.max(MIN_REQUESTS_PER_SECOND, behavior.rate);
-    clock.in(
-        RandomValues.exponentialPause(random, perSecond),
-        () -> {
-          if (!stopped) {
-            requestSink.accept(nextRequest());
-            scheduleNext();
-          }
-        });
-  }
-
-  /** The order of the draws is part of what a seed stands for. */
-  private ClientRequest nextRequest() {
+  /** Draws the next request; the order of the draws is part of what a seed stands for. */
+  ClientRequest next() {
     FakeClients.RequestClass requestClass = drawRequestClass();
     int tenant = drawTenant();
     boolean keyed = requestClass.effect() == FakeClients.Effect.IDEMPOTENCY_KEYED;
-    String idempotencyKey = keyed ? RandomValues.hexId(random) : "";
+    String idempotencyKey = keyed ? RandomIds.next(random) : "";
     return new ClientRequest(requestClass, tenant, drawKey(), idempotencyKey, clock.now());
   }
 
--- a/src/main/java/pathgw/fake/RequestReader.java
+++ b/src/main/java/pathgw/fake/RequestReader.java
@@ -3,48 +3,79 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.function.Consumer;
 
-/** Reads what a proxy sends: meta commands for a cache node, HTTP for the origin. */
+/**
+ * Reads the requests that a proxy sends on one connection: meta commands to a cache node, HTTP to
+ * the origin. Bytes may arrive cut anywhere.
+ */
 public final class RequestReader {
+  private static final String REQUEST_ID_HEADER = "X-Txn: ";
+  private static final String LABELS_HEADER = "X-Labels: ";
+  private static final String CONTENT_LENGTH_HEADER = "Content-Length: ";
+  private static final int MIN_META_WORDS = 4;
+  private static final int HTTP_REQUEST_LINE_WORDS = 3;
+  private static final int CRLF_BYTES = 2;
+
   private final RecordCutter cutter;
-  private final Consumer<Request> whole;
-  private final Runnable unreadable;
-  private boolean put;
+  private final Consumer<Request> onRequest;
+  private final Runnable onUnreadable;
+  private boolean write;
+
+  /** Null between requests. */
   private String key;
+
   private String id;
   private String labels;
-  private int length;
+  private int contentLength;
 
-  private RequestReader(boolean http, Consumer<Request> whole, Runnable unreadable) {
+  private RequestReader(boolean http, Consumer<Request> onRequest, Runnable onUnreadable) {
     cutter = new RecordCutter(http ? this::httpLine : this::metaLine);
-    this.whole = whole;
-    this.unreadable = unreadable;
+    this.onRequest = onRequest;
+    this.onUnreadable = onUnreadable;
   }
 
-  public static RequestReader meta(Consumer<Request> whole, Runnable unreadable) {
-    return new RequestReader(false, whole, unreadable);
+  /**
+   * Creates a reader of meta commands.
+   *
+   * @param onRequest receives each complete request
+   * @param onUnreadable called for a line that is no command
+   */
+  public static RequestReader meta(Consumer<Request> onRequest, Runnable onUnreadable) {
+    return new RequestReader(false, onRequest, onUnreadable);
   }
 
-  public static RequestReader http(Consumer<Request> whole, Runnable unreadable) {
-    return new RequestReader(true, whole, unreadable);
+  /**
+   * Creates a reader of HTTP requests.
+   *
+   * @param onRequest receives each complete request
+   * @param onUnreadable called for a line that is no request line
+   */
+  public static RequestReader http(Consumer<Request> onRequest, Runnable onUnreadable) {
+    return new RequestReader(true, onRequest, onUnreadable);
   }
 
+  /** Reads on; calls back for every request that is complete. */
   public void take(Buffer bytes) {
-    cutter.take(bytes);
-  }
-
-  /** Whether a command has begun that is not whole. */
-  public boolean begun() {
-    return key != null || cutter.left() > 0;
+    cutter.add(bytes);
   }
 
   private void metaLine(byte[] bytes, int from, int to) {
     String[] words = Request.text(bytes, from, to).split(" ");
-    put = words[0].equals("ms");
-    if ((!put && !words[0].equals("mg")) || words.length < 4) {
-      unreadable.run();
+    write = words[0].equals("ms");
+    if ((!write && !words[0].equals("mg")) || words.length < MIN_META_WORDS) {
+      onUnreadable.run();
       return;
     }
     key = words[1];
+    readFlags(words);
+    if (write) {
+      int valueLength = Integer.parseInt(words[2]);
+      cutter.expect(valueLength + CRLF_BYTES, (value, start, end) -> complete());
+    } else {
+      complete();
+    }
+  }
+
+  private void readFlags(String[] words) {
     id = "";
     labels = "";
     for (int i = 2; i < words.length; i++) {
@@ -54,38 +85,37 @@
         labels = words[i].substring(1);
       }
     }
-    if (!put) {
-      over();
-    } else {
-      cutter.expect(Integer.parseInt(words[2]) + 2, (b, f, t) -> over());
-    }
   }
 
   private void httpLine(byte[] bytes, int from, int to) {
     String line = Request.text(bytes, from, to);
     if (key == null) {
-      String[] words = line.split(" ");
-      if (words.length != 3 || !words[2].startsWith("HTTP/1.")) {
-        unreadable.run();
-        return;
-      }
-      put = words[0].equals("PUT");
-      key = words[1].substring(1);
-      length = 0;
-    } else if (line.startsWith("X-Txn: ")) {
-      id = line.substring(7);
-    } else if (line.startsWith("X-Labels: ")) {
-      labels = line.substring(10);
-    } else if (line.startsWith("Content-Length: ")) {
-      length = Integer.parseInt(line.substring(16));
+      httpRequestLine(line);
+    } else if (line.startsWith(REQUEST_ID_HEADER)) {
+      id = line.substring(REQUEST_ID_HEADER.length());
+    } else if (line.startsWith(LABELS_HEADER)) {
+      labels = line.substring(LABELS_HEADER.length());
+    } else if (line.startsWith(CONTENT_LENGTH_HEADER)) {
+      contentLength = Integer.parseInt(line.substring(CONTENT_LENGTH_HEADER.length()));
     } else if (line.isEmpty()) {
-      cutter.expect(length, (b, f, t) -> over());
+      cutter.expect(contentLength, (body, start, end) -> complete());
+    }
+  }
+
+  private void httpRequestLine(String line) {
+    String[] words = line.split(" ");
+    if (words.length != HTTP_REQUEST_LINE_WORDS || !words[2].startsWith("HTTP/1.")) {
+      onUnreadable.run();
+      return;
     }
+    write = words[0].equals("PUT");
+    key = words[1].substring(1);
+    contentLength = 0;
   }
 
-  private void over() {
-    Request request = new Request(put, key, id, labels);
+  private void complete() {
+    Request request = new Request(write, key, id, labels);
     key = null;
-    whole.accept(request);
+    onRequest.accept(request);
   }
 }
--- /dev/null
+++ b/src/main/java/pathgw/fake/ServerConnection.java
@@ -0,0 +1,149 @@
+package pathgw.fake;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Random;
+
+/**
+ * One connection of a proxy to a fake server. Replies are sent in the order of the requests. The
+ * connection faults of {@link FaultInjection} happen here.
+ */
+final class ServerConnection implements ConnectionHandler {
+  private static final int MAX_RESET_DELAY_MS = 30;
+  private static final Duration RESET_AFTER_CUT_REPLY = Duration.ofMillis(5);
+
+  /** How much is missing of a reply that a reset cuts short. */
+  private static final int CUT_BYTES = 3;
+
+  private static final Buffer EXTRA_BYTES = Buffer.buffer("what is this\r\n");
+
+  private final FakeServer server;
+  private final Clock clock;
+  private final Random random;
+  private final FaultInjection faults;
+  private final String from;
+  private final ConnectionSide side;
+  private final RequestReader requests;
+  private final ArrayDeque<PendingReply> pending = new ArrayDeque<>();
+  private Duration usedAt;
+  private boolean ended;
+
+  /**
+   * Takes over a connection.
+   *
+   * @param from the proxy
+   */
+  ServerConnection(FakeServer server, String from, ConnectionSide side) {
+    this.server = server;
+    clock = server.clock;
+    random = server.random;
+    faults = server.faults;
+    this.from = from;
+    this.side = side;
+    requests = server.reader(this::request, this::unreadable);
+    usedAt = clock.now();
+    closeIfIdle();
+  }
+
+  String from() {
+    return from;
+  }
+
+  private void closeIfIdle() {
+    if (ended) {
+      return;
+    }
+    Duration idleTimeout = server.idleTimeout();
+    Duration remaining = usedAt.plus(idleTimeout).minus(clock.now());
+    boolean expired = remaining.toNanos() <= 0;
+    if (pending.isEmpty() && expired) {
+      close();
+    } else {
+      clock.in(expired ? idleTimeout : remaining, this::closeIfIdle);
+    }
+  }
+
+  private void close() {
+    side.close();
+    over();
+  }
+
+  private void reset() {
+    side.reset();
+    over();
+  }
+
+  @Override
+  public void came(Buffer bytes) {
+    if (!ended) {
+      requests.take(bytes);
+    }
+  }
+
+  private void unreadable() {
+    close();
+  }
+
+  private void request(Request request) {
+    usedAt = clock.now();
+    if (server.happens(faults.closes)) {
+      server.observer.turnedAway(server.name, request);
+      close();
+      return;
+    }
+    boolean resets = server.happens(faults.resets);
+    if (resets && random.nextBoolean()) {
+      reset();
+      return;
+    }
+    PendingReply reply = new PendingReply(this);
+    pending.add(reply);
+    server.handle(request, reply);
+    if (resets) {
+      clock.in(Duration.ofMillis(random.nextInt(MAX_RESET_DELAY_MS)), this::reset);
+    }
+  }
+
+  /** Sends what is ready, up to the first request that has no reply yet. */
+  void flush() {
+    while (!ended && !pending.isEmpty() && pending.peek().bytes() != null) {
+      PendingReply reply = pending.poll();
+      usedAt = clock.now();
+      if (reply.endsConnection()) {
+        sendAndEnd(reply.bytes());
+      } else {
+        send(reply.bytes());
+      }
+    }
+  }
+
+  private void send(Buffer reply) {
+    if (server.happens(faults.spoils)) {
+      side.write(server.corrupt(reply));
+    } else if (server.happens(faults.extra) && pending.isEmpty()) {
+      side.write(reply.copy().appendBuffer(random.nextBoolean() ? reply : EXTRA_BYTES));
+    } else {
+      side.write(reply);
+    }
+  }
+
+  private void sendAndEnd(Buffer reply) {
+    if (server.happens(faults.resets)) {
+      side.write(reply.slice(0, reply.length() - CUT_BYTES));
+      clock.in(RESET_AFTER_CUT_REPLY, side::reset);
+    } else {
+      side.write(reply);
+      side.close();
+    }
+    over();
+  }
+
+  @Override
+  public void over() {
+    if (!ended) {
+      ended = true;
+      server.connectionEnded();
+    }
+  }
+}
--- a/src/main/java/pathgw/fake/WorkerQueue.java
+++ b/src/main/java/pathgw/fake/WorkerQueue.java
@@ -5,59 +5,62 @@
 import java.util.Random;
 import java.util.function.DoubleSupplier;
 
-/** What works at a place: so many at a time, and a bounded queue before them. */
+/** The workers of a fake server and the bounded queue before them. */
 final class WorkerQueue {
   private final Clock clock;
-  private final Random chance;
-  private final int slots;
-  private final Duration service;
-  private final int longestQueue;
-  private final DoubleSupplier slower;
-  private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
-  private int busy;
+  private final Random random;
+  private final ServerLimits limits;
+  private final DoubleSupplier slowdown;
+  private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+  private int busyWorkers;
 
   /**
-   * @param slower how many times longer work takes just now
+   * Creates idle workers.
+   *
+   * @param slowdown how many times its usual time work takes at present
    */
-  WorkerQueue(
-      Clock clock,
-      Random chance,
-      int slots,
-      Duration service,
-      int longestQueue,
-      DoubleSupplier slower) {
+  WorkerQueue(Clock clock, Random random, ServerLimits limits, DoubleSupplier slowdown) {
     this.clock = clock;
-    this.chance = chance;
-    this.slots = slots;
-    this.service = service;
-    this.longestQueue = longestQueue;
-    this.slower = slower;
+    this.random = random;
+    this.limits = limits;
+    this.slowdown = slowdown;
   }
 
+  /** Whether all workers are busy and the queue is full. */
   boolean full() {
-    return busy >= slots && queue.size() >= longestQueue;
+    return busyWorkers >= limits.slots() && waiting.size() >= limits.queueLength();
   }
 
-  void work(Runnable done) {
-    Runnable job =
-        () -> {
-          busy++;
-          // Most work takes about the usual time, some of it several times as long.
-          double times = 0.5 - Math.log(1 - chance.nextDouble()) / 2;
-          clock.in(
-              Duration.ofNanos((long) (service.toNanos() * times * slower.getAsDouble())),
-              () -> {
-                busy--;
-                done.run();
-                if (!queue.isEmpty() && busy < slots) {
-                  queue.poll().run();
-                }
-              });
-        };
-    if (busy < slots) {
-      job.run();
+  /**
+   * Works on a request as soon as a worker is free. Callers check {@link #full()} first.
+   *
+   * @param onDone called at the end of the work, when its worker is free again
+   */
+  void submit(Runnable onDone) {
+    if (busyWorkers < limits.slots()) {
+      begin(onDone);
     } else {
-      queue.add(job);
+      waiting.add(onDone);
     }
   }
+
+  private void begin(Runnable onDone) {
+    busyWorkers++;
+    clock.in(drawServiceTime(), () -> end(onDone));
+  }
+
+  private void end(Runnable onDone) {
+    busyWorkers--;
+    onDone.run();
+    if (!waiting.isEmpty() && busyWorkers < limits.slots()) {
+      begin(waiting.poll());
+    }
+  }
+
+  /** Half the mean and an exponential rest: most work takes about the mean, some several times. */
+  private Duration drawServiceTime() {
+    double factor = 0.5 - Math.log(1 - random.nextDouble()) / 2;
+    long nanos = (long) (limits.serviceTime().toNanos() * factor * slowdown.getAsDouble());
+    return Duration.ofNanos(nanos);
+  }
 }
