--- a/src/main/java/pathgw/cli/Cli.java
+++ b/src/main/java/pathgw/cli/Cli.java
@@ -10,7 +10,7 @@
     subcommands = SimulateCommand.class,
     description = {
       "A proxy that spreads keys over cache nodes before a slow origin.",
-      "Besides the commands below: serve, benchlink, rehearse."
+      "Besides the commands below: serve, benchlink, train-archive."
     })
 public final class Cli {
   private Cli() {}
--- a/src/main/java/pathgw/simulation/InvariantChecker.java
+++ b/src/main/java/pathgw/simulation/InvariantChecker.java
@@ -13,7 +13,7 @@
 import pathgw.fake.FakeClients.Effect;
 import pathgw.fake.Request;
 import pathgw.observability.RequestObserver;
-import pathgw.server.ProxyServer;
+import pathgw.server.ResourceUsage;
 
 /**
  * Sees all of one run and says which rule was broken first. What a proxy may know counts, not what
@@ -344,13 +344,13 @@
   }
 
   /** After every step of a proxy. */
-  void bounds(int proxy, ProxyServer.Held held) {
-    if (held.clients() > held.mostClients()
-        || held.toNodes() > held.mostToNodes()
-        || held.requests() > held.mostClients() * 16) {
+  void bounds(int proxy, ResourceUsage held) {
+    if (held.clients() > held.maxClients()
+        || held.nodeConnections() > held.maxNodeConnections()
+        || held.requests() > held.maxClients() * 16) {
       broken(5, "bounds", "p" + proxy + " holds " + held);
     }
-    if (held.clients() + held.toNodes() + OTHER_DESCRIPTORS > figures.sockets()) {
+    if (held.clients() + held.nodeConnections() + OTHER_DESCRIPTORS > figures.sockets()) {
       broken(
           5,
           "descriptors",
@@ -359,8 +359,8 @@
   }
 
   /** At the very end, when nobody asks any more. */
-  void empty(int proxy, ProxyServer.Held held) {
-    if (held.requests() > 0 || held.clients() > 0 || held.toNodes() > 0) {
+  void empty(int proxy, ResourceUsage held) {
+    if (held.requests() > 0 || held.clients() > 0 || held.nodeConnections() > 0) {
       broken(5, "leak", "p" + proxy + " still holds " + held);
     }
   }
--- a/src/main/java/pathgw/simulation/ScenarioRun.java
+++ b/src/main/java/pathgw/simulation/ScenarioRun.java
@@ -278,14 +278,14 @@
       if (last != null && last.name.startsWith("p")) {
         Gate g = gates.get(Integer.parseInt(last.name.substring(1)));
         if (g.serves && !last.dead()) {
-          checker.bounds(g.number, g.proxy.held());
+          checker.bounds(g.number, g.proxy.resourceUsage());
         }
       }
     }
     if (checker.breach() == null) {
       gates.stream()
           .filter(g -> g.serves && !g.process.dead())
-          .forEach(g -> checker.empty(g.number, g.proxy.held()));
+          .forEach(g -> checker.empty(g.number, g.proxy.resourceUsage()));
       checker.cameBack(room(), events.now() / 1_000_000 - SETTLES_MS - scenario.calmFromMs());
     }
     Map<String, Long> counts = new LinkedHashMap<>(checker.counts());
@@ -316,7 +316,7 @@
   // Connections.
 
   private static String name(VirtualConnection end) {
-    String[] parts = end.there().host().split("\\.");
+    String[] parts = end.remoteAddress().host().split("\\.");
     return "p"
         + ((Integer.parseInt(parts[1]) - GATES_AT) * GATES_A_NET + Integer.parseInt(parts[2]));
   }
@@ -731,7 +731,7 @@
         .forEach(
             g -> {
               Config read = Config.read(config(g).getBytes(StandardCharsets.UTF_8));
-              net.soon(g.process, () -> g.proxy.readAgain(read));
+              net.soon(g.process, () -> g.proxy.reload(read));
             });
   }
 
--- a/src/main/java/pathgw/simulation/VirtualConnection.java
+++ b/src/main/java/pathgw/simulation/VirtualConnection.java
@@ -127,7 +127,7 @@
       return;
     }
     onTheWay += bytes.length();
-    wasFull |= full();
+    wasFull |= isWriteQueueFull();
     int cut = net.cutsAt(bytes.length());
     if (cut > 0) {
       deliver(bytes.slice(0, cut).copy());
@@ -175,7 +175,7 @@
   }
 
   @Override
-  public boolean full() {
+  public boolean isWriteQueueFull() {
     return onTheWay >= FULL;
   }
 
@@ -249,12 +249,12 @@
   }
 
   @Override
-  public Address here() {
+  public Address localAddress() {
     return here;
   }
 
   @Override
-  public Address there() {
+  public Address remoteAddress() {
     return there;
   }
 }
--- a/src/main/java/pathgw/simulation/VirtualNetwork.java
+++ b/src/main/java/pathgw/simulation/VirtualNetwork.java
@@ -119,7 +119,7 @@
           }
           VirtualConnection near = new VirtualConnection(this, from, new Address(host, port++), to);
           VirtualProcess owner = there == null ? from : there.owner;
-          VirtualConnection far = new VirtualConnection(this, owner, to, near.here());
+          VirtualConnection far = new VirtualConnection(this, owner, to, near.localAddress());
           VirtualConnection.join(near, far);
           if (there == null || there.owner.dead() || !there.door.open(far)) {
             from.connections.remove(near);
--- a/src/test/java/pathgw/config/TestConfig.java
+++ b/src/test/java/pathgw/config/TestConfig.java
@@ -11,7 +11,7 @@
 
   /** The configuration that the rehearsal starts from. */
   public static String json() {
-    try (InputStream in = TestConfig.class.getResourceAsStream("/pathgw/rehearsal.json")) {
+    try (InputStream in = TestConfig.class.getResourceAsStream("/pathgw/example-config.json")) {
       return new String(in.readAllBytes(), StandardCharsets.UTF_8).replace("DISCOVERY", "1");
     } catch (IOException e) {
       throw new UncheckedIOException(e);
--- a/src/test/java/pathgw/server/ClientLimitsTest.java
+++ b/src/test/java/pathgw/server/ClientLimitsTest.java
@@ -8,10 +8,10 @@
 import pathgw.client.ClientConnection;
 import pathgw.fixture.NetworkFixture;
 
-/** How many clients may hold a connection, and whose is closed first. */
+/** How many clients may hold a connection, and whose connection is closed first. */
 class ClientLimitsTest extends NetworkFixture {
   @Test
-  void whoAskedAndStaysGoesBeforeUsualClientsFindNoPlace() {
+  void clientsIdleLongestAfterCommandAreClosedFirst() {
     nodes("n1");
     List<ClientConnection> clients = new ArrayList<>();
     for (String command : new String[] {"mn\r\n", READ, "mn\r\n", "mn\r\n", ""}) {
@@ -20,13 +20,13 @@
       clients.add(client);
     }
     after(1);
-    assertEquals(List.of(clients.get(0), clients.get(2)), ProxyServer.surplus(clients, 2));
-    assertEquals(List.of(clients.get(0)), ProxyServer.surplus(clients, 3));
-    assertEquals(List.of(), ProxyServer.surplus(clients, 4));
+    assertEquals(List.of(clients.get(0), clients.get(2)), ClientRegistry.surplus(clients, 2));
+    assertEquals(List.of(clients.get(0)), ClientRegistry.surplus(clients, 3));
+    assertEquals(List.of(), ClientRegistry.surplus(clients, 4));
   }
 
   @Test
-  void descriptorsAreLeftForConnectionsThatAreJustClosing() {
-    assertEquals(256 - 40 - 16, ProxyServer.counted(CONFIG));
+  void descriptorsAreReservedForConnectionsBeingOpenedOrClosed() {
+    assertEquals(256 - 40 - 16, ConnectionLimits.usableDescriptors(CONFIG));
   }
 }
--- /dev/null
+++ b/src/test/java/pathgw/server/DelayedDialTransport.java
@@ -0,0 +1,61 @@
+package pathgw.server;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import pathgw.config.Address;
+import pathgw.transport.Connection;
+import pathgw.transport.Transport;
+
+/** A transport on which connections to one port come up only when the test runs them. */
+final class DelayedDialTransport implements Transport {
+  private final Transport delegate;
+
+  /** Connections to this port are delayed from now on. */
+  volatile int port;
+
+  final LinkedBlockingQueue<Runnable> delayed = new LinkedBlockingQueue<>();
+
+  DelayedDialTransport(Transport delegate) {
+    this.delegate = delegate;
+  }
+
+  @Override
+  public long nanos() {
+    return delegate.nanos();
+  }
+
+  @Override
+  public long unixMillis() {
+    return delegate.unixMillis();
+  }
+
+  @Override
+  public Runnable after(Duration delay, Runnable task) {
+    return delegate.after(delay, task);
+  }
+
+  @Override
+  public Future<Connection> dial(Address to, Duration timeout) {
+    if (to.port() != port) {
+      return delegate.dial(to, timeout);
+    }
+    Promise<Connection> connected = Promise.promise();
+    delayed.add(() -> delegate.dial(to, timeout).onComplete(connected));
+    return connected.future();
+  }
+
+  @Override
+  public Future<Integer> listen(Address at, Consumer<Connection> onAccept) {
+    return delegate.listen(at, onAccept);
+  }
+
+  @Override
+  public BiConsumer<Buffer, Address> datagrams(Address at, BiConsumer<Buffer, Address> onDatagram) {
+    return delegate.datagrams(at, onDatagram);
+  }
+}
--- a/src/test/java/pathgw/server/FleetSizeTest.java
+++ b/src/test/java/pathgw/server/FleetSizeTest.java
@@ -1,13 +1,13 @@
 package pathgw.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -29,24 +29,25 @@
 import pathgw.transport.FakeConnection;
 import pathgw.upstream.UpstreamPools;
 
-/** A thousand proxies before a thousand cache nodes, as one of them sees it. */
+/** One proxy of a thousand, with a thousand cache nodes. */
 class FleetSizeTest {
   private static final int MANY = 1024;
+  private static final int PIECE_BYTES = 16_384;
 
-  /** The longest that a name on a network may be. */
+  /** A host name of the greatest length that DNS allows. */
   private static String host(int i) {
     return "s" + i + "-".repeat(252 - Integer.toString(i).length());
   }
 
-  /** Deep enough that a list is longer than 1 MiB, which once was the bound. */
-  private static final String NEXT = ",\n" + " ".repeat(100);
+  /** Wide enough that a list is longer than 1 MiB, which once was the bound. */
+  private static final String FIELD_SEPARATOR = ",\n" + " ".repeat(100);
 
   private static String hosts(String health) {
     return IntStream.range(0, MANY)
         .mapToObj(
             i ->
                 String.join(
-                    NEXT,
+                    FIELD_SEPARATOR,
                     "{\"host\": \"" + host(i) + "\"",
                     "\"dial\": \"10.1." + i / 250 + "." + i % 250 + ":11211\"",
                     "\"site\": \"here\"",
@@ -72,25 +73,63 @@
     return transport.dial(to, Duration.ZERO);
   }
 
-  @Test
-  void aThousandPeersAndAThousandNodesAreTakenWhole() {
+  private static Config configWithManyPeersAndNodes() {
     String peers =
         IntStream.range(0, MANY)
             .mapToObj(i -> "\"10.9." + i / 250 + "." + i % 250 + ":7946\"")
             .collect(Collectors.joining(","));
-    Config config =
-        Config.read(
-            TestConfig.json()
-                .replaceFirst(
-                    "\\{",
-                    "{\"peer_listen\": \"10.9.0.0:7946\", "
-                        + "\"peers_all\": \"10.9.255.1:7946\", \"peers\": ["
-                        + peers
-                        + "],\n\"known\": "
-                        + list(1, "draining")
-                        + ",")
-                .replace("\"instances\": 1", "\"instances\": " + MANY)
-                .getBytes(StandardCharsets.UTF_8));
+    return Config.read(
+        TestConfig.json()
+            .replaceFirst(
+                "\\{",
+                "{\"peer_listen\": \"10.9.0.0:7946\", "
+                    + "\"peers_all\": \"10.9.255.1:7946\", \"peers\": ["
+                    + peers
+                    + "],\n\"known\": "
+                    + list(1, "draining")
+                    + ",")
+            .replace("\"instances\": 1", "\"instances\": " + MANY)
+            .getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Answers the call for the endpoint list, in pieces as the network cuts them. */
+  private void sendEndpointList(String list) {
+    String response =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(list.length())
+            + "\r\n"
+            + list
+            + "\r\n";
+    for (int at = 0; at < response.length(); at += PIECE_BYTES) {
+      int end = Math.min(response.length(), at + PIECE_BYTES);
+      transport.dialled.get(0).gives(response.substring(at, end));
+    }
+  }
+
+  private void sendReads(
+      int count, Config config, EventLoopTimers timers, RequestHandler requestHandler) {
+    RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), timers);
+    for (int i = 0; i < count; i++) {
+      FakeConnection client = new FakeConnection();
+      new ClientConnection(client, config, timers, requestHandler, limitedLog, c -> {});
+      client.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
+    }
+  }
+
+  /** Sends the same failure report eight times, and gives whether the node is suspected after. */
+  private boolean suspectedAfterReports(DecisionDriver driver, long node, String peer) {
+    Buffer report = Buffer.buffer().appendLong(node).appendByte((byte) 0);
+    for (int i = 0; i < 8; i++) {
+      transport.onDatagram.accept(report, new Address(peer, 7946));
+    }
+    boolean[] suspected = new boolean[1];
+    driver.submit(engine -> suspected[0] = engine.snapshot(node).suspected());
+    return suspected[0];
+  }
+
+  @Test
+  void proxyHandlesThousandPeersAndThousandNodes() {
+    Config config = configWithManyPeersAndNodes();
     assertEquals(MANY, config.peers().size());
     assertEquals(MANY, config.settings().proxies());
     EventLoopTimers timers =
@@ -104,42 +143,20 @@
     discovery.take(config.known().get(), true);
     assertEquals(MANY, pools.startTimes().size());
 
-    String whole = list(2, "ready");
-    assertTrue(whole.length() > 1 << 20, whole.length() + " bytes");
-    // Bytes come as the network cuts them.
-    String answer =
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + Integer.toHexString(whole.length())
-            + "\r\n"
-            + whole
-            + "\r\n";
-    for (int at = 0; at < answer.length(); at += 16_384) {
-      transport.dialled.get(0).gives(answer.substring(at, Math.min(answer.length(), at + 16_384)));
-    }
+    String list = list(2, "ready");
+    assertTrue(list.length() > 1 << 20, list.length() + " bytes");
+    sendEndpointList(list);
     RequestHandler requestHandler =
         new RequestHandler(timers, driver, pools, config.answerSlack(), RequestObserver.NONE);
-    RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), timers);
-    for (int i = 0; i < 200; i++) {
-      FakeConnection asks = new FakeConnection();
-      new ClientConnection(asks, config, timers, requestHandler, limitedLog, c -> {});
-      asks.gives("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
-    }
+    sendReads(200, config, timers, requestHandler);
     long nodes =
         transport.dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
     assertTrue(nodes > 150, nodes + " nodes of a thousand have 200 keys");
 
     long first = MetaCommand.hash(host(0));
-    String[] suspected = new String[2];
-    Buffer failed = Buffer.buffer().appendLong(first).appendByte((byte) 0);
-    for (int i = 0; i < 8; i++) {
-      transport.heard.accept(failed, new Address("10.8.0.1", 7946));
-    }
-    driver.submit(engine -> suspected[0] = "" + engine.snapshot(first).suspected());
-    for (int i = 0; i < 8; i++) {
-      transport.heard.accept(failed, new Address("10.9.4.23", 7946));
-    }
-    driver.submit(engine -> suspected[1] = "" + engine.snapshot(first).suspected());
-    assertEquals(
-        List.of("false", "true"), List.of(suspected), "the last of the peers, and no stranger");
+    assertFalse(
+        suspectedAfterReports(driver, first, "10.8.0.1"), "reports of a stranger must not count");
+    assertTrue(
+        suspectedAfterReports(driver, first, "10.9.4.23"), "reports of the last peer must count");
   }
 }
--- a/src/test/java/pathgw/server/ManualTransport.java
+++ b/src/test/java/pathgw/server/ManualTransport.java
@@ -12,24 +12,22 @@
 import pathgw.transport.FakeConnection;
 import pathgw.transport.Transport;
 
-/**
- * A world that the test holds: time passes when it says so, connections and datagrams come from it.
- */
+/** A transport whose time, connections and datagrams are driven by the test. */
 final class ManualTransport implements Transport {
-  private record Timer(long at, Runnable what) {}
+  private record Timer(long dueNanos, Runnable task) {}
 
   final List<FakeConnection> dialled = new ArrayList<>();
-  Consumer<Connection> arrives;
-  BiConsumer<Buffer, Address> heard;
+  Consumer<Connection> onAccept;
+  BiConsumer<Buffer, Address> onDatagram;
   private final List<Timer> timers = new ArrayList<>();
   private long nanos;
 
   void pass(long ms) {
-    for (long i = 0; i < ms; i++) {
+    for (long elapsed = 0; elapsed < ms; elapsed++) {
       nanos += 1_000_000;
-      for (Timer t : List.copyOf(timers)) {
-        if (t.at <= nanos && timers.remove(t)) {
-          t.what.run();
+      for (Timer timer : List.copyOf(timers)) {
+        if (timer.dueNanos <= nanos && timers.remove(timer)) {
+          timer.task.run();
         }
       }
     }
@@ -46,28 +44,28 @@
   }
 
   @Override
-  public Runnable after(Duration span, Runnable what) {
-    Timer timer = new Timer(nanos + span.toNanos(), what);
+  public Runnable after(Duration delay, Runnable task) {
+    Timer timer = new Timer(nanos + delay.toNanos(), task);
     timers.add(timer);
     return () -> timers.remove(timer);
   }
 
   @Override
-  public Future<Connection> dial(Address to, Duration within) {
-    FakeConnection socket = new FakeConnection();
-    dialled.add(socket);
-    return Future.succeededFuture(socket);
+  public Future<Connection> dial(Address to, Duration timeout) {
+    FakeConnection connection = new FakeConnection();
+    dialled.add(connection);
+    return Future.succeededFuture(connection);
   }
 
   @Override
-  public Future<Integer> listen(Address at, Consumer<Connection> arrived) {
-    arrives = arrived;
+  public Future<Integer> listen(Address at, Consumer<Connection> onAccept) {
+    this.onAccept = onAccept;
     return Future.succeededFuture(at.port());
   }
 
   @Override
-  public BiConsumer<Buffer, Address> datagrams(Address at, BiConsumer<Buffer, Address> heard) {
-    this.heard = heard;
+  public BiConsumer<Buffer, Address> datagrams(Address at, BiConsumer<Buffer, Address> onDatagram) {
+    this.onDatagram = onDatagram;
     return (bytes, to) -> {};
   }
 }
--- a/src/test/java/pathgw/server/ProcessIT.java
+++ b/src/test/java/pathgw/server/ProcessIT.java
@@ -20,7 +20,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import pathgw.config.TestConfig;
-import pathgw.server.SocketFixture.Door;
+import pathgw.server.SocketFixture.FakeServer;
 import pathgw.server.SocketFixture.Peer;
 
 /** The packaged program in a process of its own, with real signals and real limits. */
@@ -28,16 +28,16 @@
 class ProcessIT {
   @TempDir Path folder;
 
-  private Door node;
-  private Door list;
+  private FakeServer node;
+  private FakeServer discovery;
   private Process process;
   private int port;
 
   @BeforeEach
-  void surroundings() throws IOException {
-    node = new Door(peer -> {});
-    list = new Door(this::tell);
-    port = free();
+  void startFakes() throws IOException {
+    node = new FakeServer(peer -> {});
+    discovery = new FakeServer(this::sendEndpointList);
+    port = freePort();
   }
 
   @AfterEach
@@ -46,30 +46,30 @@
       process.destroyForcibly().waitFor();
     }
     node.close();
-    list.close();
+    discovery.close();
   }
 
-  private static int free() throws IOException {
+  private static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       return socket.getLocalPort();
     }
   }
 
-  private void tell(Peer peer) {
+  private void sendEndpointList(Peer peer) {
     try {
-      peer.line();
+      peer.readLine();
       String line =
           "{\"seq\":1,\"whole\":true,\"hosts\":["
               + SocketFixture.entry("n1", node.port(), "std")
               + "]}\n";
-      peer.sends(
+      peer.send(
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
               + Integer.toHexString(line.length())
               + "\r\n"
               + line
               + "\r\n");
     } catch (IOException e) {
-      // It was called off.
+      // The proxy has closed the call.
     }
   }
 
@@ -77,8 +77,7 @@
     Files.writeString(
         folder.resolve("config.json"),
         TestConfig.json()
-            // Else an attempt that is out for long is taken back, and the answer comes from
-            // elsewhere.
+            // Else a slow attempt is cancelled, and the response comes from elsewhere.
             .replace("\"cancel\": true", "\"cancel\": false")
             .replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + port + "\"")
             .replace(
@@ -105,7 +104,7 @@
     return Files.readString(folder.resolve("log"));
   }
 
-  private void awaits(String line) throws Exception {
+  private void awaitLog(String line) throws Exception {
     for (int i = 0; i < 3000 && !log().contains(line); i++) {
       assertTrue(process.isAlive(), log());
       Thread.sleep(5);
@@ -118,7 +117,7 @@
     assertEquals(0, new ProcessBuilder("kill", "-" + name, pid).start().waitFor());
   }
 
-  /** As soon as the program listens. */
+  /** Connects as soon as the program listens. */
   private Peer client() throws Exception {
     for (int i = 0; i < 10_000; i++) {
       try {
@@ -128,138 +127,139 @@
         Thread.sleep(1);
       }
     }
-    throw new AssertionError("nobody listens");
+    throw new AssertionError("the program does not listen");
   }
 
-  /** A read that the node has, once the program knows the list. */
-  private Peer carries(Peer client, String id) throws Exception {
+  /** Sends reads until the node has received one, which needs the endpoint list. */
+  private Peer sendAndAwaitAtNode(Peer client, String id) throws Exception {
     for (int i = 0; i < 1000; i++) {
-      client.sends(SocketFixture.read(id + i));
+      client.send(SocketFixture.read(id + i));
       for (int waits = 0;
           waits < 1000 && client.socket.getInputStream().available() == 0;
           waits++) {
-        Peer at = node.nextNow();
+        Peer at = node.poll();
         if (at != null) {
           return at;
         }
         Thread.sleep(1);
       }
-      client.line();
+      client.readLine();
     }
-    throw new AssertionError("never sent on");
+    throw new AssertionError("never forwarded");
   }
 
-  /** What a usual client gets in the end, which comes again where it is turned away. */
-  private String served(String id) throws Exception {
+  /** The response that a client gets that reconnects whenever it is rejected. */
+  private String readWithReconnects(String id) throws Exception {
     for (int i = 0; i < 100; i++) {
       try (Socket socket = client().socket) {
         Peer client = new Peer(socket);
-        client.sends(SocketFixture.read(id));
+        client.send(SocketFixture.read(id));
         Peer at = null;
         long until = System.nanoTime() + 3_000_000_000L;
         while (at == null
             && socket.getInputStream().available() == 0
             && System.nanoTime() < until) {
           Thread.sleep(1);
-          at = node.nextNow();
+          at = node.poll();
         }
         if (at != null) {
-          at.line();
-          at.sends(SocketFixture.value(id));
-          return client.line() + client.line();
+          at.readLine();
+          at.send(SocketFixture.value(id));
+          return client.readLine() + client.readLine();
         }
-      } catch (IOException turnedAway) {
-        // And comes again.
+      } catch (IOException rejected) {
+        // Reconnects below.
       }
       Thread.sleep(50);
     }
     throw new AssertionError("never served " + log());
   }
 
-  private void ended() throws Exception {
+  private void awaitTermination() throws Exception {
     assertTrue(process.waitFor(10, TimeUnit.SECONDS));
     assertEquals(128 + 15, process.exitValue(), log());
   }
 
-  /** The process stands still: command and signal lie at the machine together. */
+  /** The process is suspended, so that command and signal are pending together. */
   @Test
-  void toldToEndWhileItWarmsUpItAnswersWhoHasAsked() throws Exception {
-    start(list.port());
+  void terminatedDuringWarmUpItAnswersReceivedCommands() throws Exception {
+    start(discovery.port());
     Peer client = client();
     signal("STOP");
-    assertFalse(log().contains("serves on"), "it was to be caught before it serves");
-    client.sends(SocketFixture.read("a1"));
+    assertFalse(log().contains("serves on"), "it must be suspended before it serves");
+    client.send(SocketFixture.read("a1"));
     signal("TERM");
     signal("CONT");
-    assertTrue(client.line().endsWith("\n"), "neither dropped nor left");
+    assertTrue(client.readLine().endsWith("\n"), "the command was dropped");
     client.socket.close();
-    ended();
+    awaitTermination();
   }
 
   @Test
-  void toldToEndTwiceItStillAnswersWhatIsOut() throws Exception {
-    start(list.port());
-    awaits("serves on");
+  void secondTerminationSignalLosesNoRequestInFlight() throws Exception {
+    start(discovery.port());
+    awaitLog("serves on");
     Peer client = client();
-    Peer at = carries(client, "a");
-    String id = at.line().replaceAll("(?s).* O(\\w+) .*\\s", "$1");
+    Peer at = sendAndAwaitAtNode(client, "a");
+    String id = at.readLine().replaceAll("(?s).* O(\\w+) .*\\s", "$1");
     signal("TERM");
-    awaits("stops:");
+    awaitLog("shutting down:");
     signal("TERM");
     signal("HUP");
-    at.sends(SocketFixture.value(id));
-    assertEquals(SocketFixture.value(id), client.line() + client.line());
-    assertEquals("", client.line(), "an end, not a reset");
+    at.send(SocketFixture.value(id));
+    assertEquals(SocketFixture.value(id), client.readLine() + client.readLine());
+    assertEquals("", client.readLine(), "an end, not a reset");
     client.socket.close();
-    ended();
+    awaitTermination();
   }
 
   @Test
-  void aNodeThatHangsAtTheStopCostsNoAnswer() throws Exception {
-    start(list.port());
-    awaits("serves on");
+  void nodeThatHangsDuringShutdownStillYieldsResponse() throws Exception {
+    start(discovery.port());
+    awaitLog("serves on");
     Peer client = client();
-    carries(client, "a");
+    sendAndAwaitAtNode(client, "a");
     signal("TERM");
-    assertTrue(client.line().startsWith("SERVER_ERROR "));
+    assertTrue(client.readLine().startsWith("SERVER_ERROR "));
     client.socket.close();
-    ended();
+    awaitTermination();
   }
 
   @Test
-  void theConfigurationIsReadAgainOrTheOldOneStays() throws Exception {
-    start(list.port());
-    awaits("serves on");
+  void invalidConfigurationIsNotReloadedAndValidOneIs() throws Exception {
+    start(discovery.port());
+    awaitLog("serves on");
     Files.writeString(folder.resolve("config.json"), "{");
     signal("HUP");
-    awaits("configuration not read again, the old one stays");
-    try (Door other = new Door(this::tell)) {
+    awaitLog("configuration not reloaded, the previous one stays in effect");
+    try (FakeServer other = new FakeServer(this::sendEndpointList)) {
       configure(other.port());
       signal("HUP");
       assertTrue(other.next().socket.isConnected());
     }
     Peer client = client();
-    client.sends("mn\r\n");
-    assertEquals("MN\r\n", client.line());
+    client.send("mn\r\n");
+    assertEquals("MN\r\n", client.readLine());
   }
 
-  /** Descriptors are short, and clients that ask for nothing want them all. */
+  /** Clients that send nothing take all descriptors that they can get. */
   @Test
-  void idleClientsThatFillTheDescriptorsWhileDiscoveryIsDownKeepNobodyOut() throws Exception {
-    int down = free();
-    start(down);
-    awaits("serves on");
+  void idleClientsHoldingAllDescriptorsDoNotBlockOthersDuringDiscoveryOutage() throws Exception {
+    int discoveryPort = freePort();
+    start(discoveryPort);
+    awaitLog("serves on");
     List<Socket> idle = new ArrayList<>();
     for (int i = 0; i < 400; i++) {
       Socket socket = new Socket();
       socket.connect(new InetSocketAddress("127.0.0.1", port), 5000);
       idle.add(socket);
     }
-    try (ServerSocket back = new ServerSocket(down, 50, InetAddress.getByName("127.0.0.1"))) {
+    try (ServerSocket back =
+        new ServerSocket(discoveryPort, 50, InetAddress.getByName("127.0.0.1"))) {
       back.setSoTimeout(10_000);
       Peer call = new Peer(back.accept());
-      tell(call);
-      assertEquals(SocketFixture.value("b"), served("b"));
+      sendEndpointList(call);
+      assertEquals(SocketFixture.value("b"), readWithReconnects("b"));
     }
     assertTrue(process.isAlive());
     for (Socket socket : idle) {
--- a/src/test/java/pathgw/server/ShutdownTest.java
+++ b/src/test/java/pathgw/server/ShutdownTest.java
@@ -10,68 +10,68 @@
 import pathgw.config.TestConfig;
 import pathgw.transport.FakeConnection;
 
-/** A proxy that has been told to end. */
+/** Graceful shutdown, and reloads before and during it. */
 class ShutdownTest {
-  private final ManualTransport outside = new ManualTransport();
+  private final ManualTransport transport = new ManualTransport();
   private final ProxyServer proxy =
-      new ProxyServer(outside, Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)), 0);
+      new ProxyServer(
+          transport, Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8)), 0);
+
+  private static Config configWithDiscoveryPort77() {
+    return Config.read(
+        TestConfig.json()
+            .replace("\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"127.0.0.1:77\"")
+            .getBytes(StandardCharsets.UTF_8));
+  }
 
   @Test
-  void toldBeforeItsStartItEndsAtOnce() {
+  void stopBeforeStartCompletesAtOnce() {
     assertTrue(proxy.stop().isComplete());
   }
 
-  /** The signal may come before there is anything to move. */
+  /** The signal may arrive before there is a discovery service to change. */
   @Test
-  void aConfigurationReadAgainBeforeTheStartCounts() {
-    proxy.readAgain(
-        Config.read(
-            TestConfig.json()
-                .replace("\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"127.0.0.1:77\"")
-                .getBytes(StandardCharsets.UTF_8)));
+  void configurationReloadedBeforeStartTakesEffect() {
+    proxy.reload(configWithDiscoveryPort77());
     proxy.start();
-    outside.pass(10);
-    assertTrue(outside.dialled.get(0).written.toString().contains("Host: 127.0.0.1:77\r\n"));
+    transport.pass(10);
+    assertTrue(transport.dialled.get(0).written.toString().contains("Host: 127.0.0.1:77\r\n"));
   }
 
   @Test
-  void readAgainDuringTheStopItEndsAsItWould() {
+  void reloadDuringShutdownDoesNotDelayIt() {
     proxy.start();
-    outside.pass(10);
+    transport.pass(10);
     Future<Void> stopped = proxy.stop();
-    proxy.readAgain(
-        Config.read(
-            TestConfig.json()
-                .replace("\"discovery\": \"127.0.0.1:1\"", "\"discovery\": \"127.0.0.1:77\"")
-                .getBytes(StandardCharsets.UTF_8)));
-    outside.pass(530);
+    proxy.reload(configWithDiscoveryPort77());
+    transport.pass(530);
     assertTrue(stopped.isComplete());
   }
 
   /**
-   * 14 of 10,000 seeds had not stopped in 4.5 s: newcomers were sent away, and each connection
+   * 14 of 10,000 simulated seeds had not stopped in 4.5 s: each rejected newcomer's connection was
    * awaited.
    */
   @Test
-  void whoGoesOnComingDoesNotKeepItFromEnding() {
+  void newClientsDoNotDelayShutdownForever() {
     proxy.start();
-    outside.pass(10);
+    transport.pass(10);
     Future<Void> stopped = proxy.stop();
     for (int ms = 0; ms < 1100; ms += 100) {
-      outside.arrives.accept(new FakeConnection());
-      outside.pass(100);
+      transport.onAccept.accept(new FakeConnection());
+      transport.pass(100);
     }
     assertTrue(stopped.isComplete());
   }
 
   @Test
-  void withNothingOutItEndsOnceTheLastComersAreOver() {
+  void idleProxyStopsAfterGracePeriod() {
     proxy.start();
-    outside.pass(10);
+    transport.pass(10);
     Future<Void> stopped = proxy.stop();
-    outside.pass(490);
+    transport.pass(490);
     assertFalse(stopped.isComplete());
-    outside.pass(30);
+    transport.pass(30);
     assertTrue(stopped.isComplete());
   }
 }
--- a/src/test/java/pathgw/server/SocketFixture.java
+++ b/src/test/java/pathgw/server/SocketFixture.java
@@ -10,43 +10,41 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
-import pathgw.config.Address;
 import pathgw.config.Config;
 import pathgw.config.TestConfig;
-import pathgw.transport.Connection;
 import pathgw.transport.Transport;
 import pathgw.transport.VertxTransport;
 
 /**
- * One proxy on real sockets between raw peers that the test holds byte by byte. Its loop can be
- * held: what the peers do meanwhile lies at the machine, all of it, when the loop goes on.
+ * One proxy on real sockets between raw peers that the test drives byte by byte. Its event loop can
+ * be blocked: what the peers send meanwhile is in the kernel's buffers when the loop goes on.
  */
 final class SocketFixture implements AutoCloseable {
-  static final int PATIENCE_MS = 5000;
+  static final int TIMEOUT_MS = 5000;
 
-  /** One end of a connection, in the test's hands. */
+  /** The test's end of a connection. */
   static final class Peer {
     final Socket socket;
 
     Peer(Socket socket) throws IOException {
       this.socket = socket;
-      socket.setSoTimeout(PATIENCE_MS);
+      socket.setSoTimeout(TIMEOUT_MS);
       socket.setTcpNoDelay(true);
     }
 
-    Peer sends(String bytes) throws IOException {
+    Peer send(String bytes) throws IOException {
       socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
       return this;
     }
 
-    /** The next line with its end, or what there is of it before the end; a reset throws. */
-    String line() throws IOException {
+    /** Reads a line with its terminator, or up to the end of the stream; a reset throws. */
+    String readLine() throws IOException {
       ByteArrayOutputStream line = new ByteArrayOutputStream();
       int b;
       while ((b = socket.getInputStream().read()) >= 0) {
@@ -58,39 +56,39 @@
       return line.toString(StandardCharsets.ISO_8859_1);
     }
 
-    /** All up to the other side's end; a reset throws. */
-    String rest() throws IOException {
+    /** Reads up to the end of the stream; a reset throws. */
+    String readToEnd() throws IOException {
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
 
-    void resets() throws IOException {
+    void reset() throws IOException {
       socket.setSoLinger(true, 0);
       socket.close();
     }
   }
 
-  /** Listens and keeps who comes. */
-  static final class Door implements AutoCloseable {
+  /** Listens on loopback and keeps the connections that it accepts. */
+  static final class FakeServer implements AutoCloseable {
     final ServerSocket socket;
-    private final LinkedBlockingQueue<Peer> came = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Peer> accepted = new LinkedBlockingQueue<>();
 
-    Door(Consumer<Peer> each) throws IOException {
+    FakeServer(Consumer<Peer> onAccept) throws IOException {
       socket = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
-      Thread taker =
+      Thread acceptor =
           new Thread(
               () -> {
                 try {
                   while (true) {
                     Peer peer = new Peer(socket.accept());
-                    came.add(peer);
-                    each.accept(peer);
+                    accepted.add(peer);
+                    onAccept.accept(peer);
                   }
                 } catch (IOException closed) {
                   // The test is over.
                 }
               });
-      taker.setDaemon(true);
-      taker.start();
+      acceptor.setDaemon(true);
+      acceptor.start();
     }
 
     int port() {
@@ -98,16 +96,16 @@
     }
 
     Peer next() throws InterruptedException {
-      Peer peer = came.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+      Peer peer = accepted.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
       if (peer == null) {
-        throw new AssertionError("nobody came");
+        throw new AssertionError("no connection was accepted");
       }
       return peer;
     }
 
-    /** Whoever has come by now, or null. */
-    Peer nextNow() {
-      return came.poll();
+    /** The next connection if it has been accepted by now, else null. */
+    Peer poll() {
+      return accepted.poll();
     }
 
     @Override
@@ -118,32 +116,33 @@
 
   final Vertx vertx = VertxTransport.vertx();
   final Context loop = vertx.getOrCreateContext();
-  final Door node = new Door(peer -> {});
-  final Door origin = new Door(peer -> {});
-  final Door list = new Door(peer -> tellList(peer));
+  final FakeServer node = new FakeServer(peer -> {});
+  final FakeServer origin = new FakeServer(peer -> {});
+  final FakeServer discovery = new FakeServer(peer -> sendEndpointList(peer));
   final Config config;
   final ProxyServer proxy;
   final int port;
   private int ids;
 
   SocketFixture() throws Exception {
-    this(outside -> outside, text -> text);
+    this(transport -> transport, text -> text);
   }
 
-  SocketFixture(UnaryOperator<Transport> seam, UnaryOperator<String> changes) throws Exception {
+  SocketFixture(UnaryOperator<Transport> wrapTransport, UnaryOperator<String> editConfig)
+      throws Exception {
     config =
         Config.read(
-            changes
+            editConfig
                 .apply(
                     TestConfig.json()
                         .replace(
                             "\"discovery\": \"127.0.0.1:1\"",
-                            "\"discovery\": \"127.0.0.1:" + list.port() + "\""))
+                            "\"discovery\": \"127.0.0.1:" + discovery.port() + "\""))
                 .getBytes(StandardCharsets.UTF_8));
-    proxy = new ProxyServer(seam.apply(new VertxTransport(vertx)), config, 0);
+    proxy = new ProxyServer(wrapTransport.apply(new VertxTransport(vertx)), config, 0);
     Promise<Integer> started = Promise.promise();
     loop.runOnContext(now -> proxy.start().onComplete(started));
-    port = done(started.future());
+    port = await(started.future());
   }
 
   static String entry(String host, int port, String kind) {
@@ -156,16 +155,16 @@
         + "\",\"block\":0,\"health\":\"ready\",\"share\":1.0,\"born_ms\":0}";
   }
 
-  private void tellList(Peer peer) {
+  private void sendEndpointList(Peer peer) {
     try {
-      peer.line();
+      peer.readLine();
       String line =
           "{\"seq\":1,\"whole\":true,\"hosts\":["
               + entry("n1", node.port(), "std")
               + ","
               + entry("o", origin.port(), "origin")
               + "]}\n";
-      peer.sends(
+      peer.send(
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
               + Integer.toHexString(line.length())
               + "\r\n"
@@ -196,72 +195,73 @@
     return "VA 2 O" + id + "\r\nhi\r\n";
   }
 
-  /**
-   * The node's end of the connection on which a command has come, once the proxy knows the list.
-   */
-  Peer carries(Peer client, String id) throws Exception {
-    client.sends(read(id));
+  /** Sends a read and gives the node's end of the connection on which it was forwarded. */
+  Peer sendAndAwaitAtNode(Peer client, String id) throws Exception {
+    client.send(read(id));
     Peer at = node.next();
-    String line = at.line();
+    String line = at.readLine();
     if (!line.contains("O" + id)) {
       throw new AssertionError(line);
     }
     return at;
   }
 
-  /** Waits until the proxy has read the list. */
-  SocketFixture knows() throws Exception {
+  /** Waits until the proxy has the endpoint list, and forwards. */
+  SocketFixture awaitEndpointList() throws Exception {
     Peer client = client();
     while (true) {
       String id = id();
-      client.sends(read(id));
+      client.send(read(id));
       Peer at = null;
       long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
       while (at == null && client.socket.getInputStream().available() == 0) {
-        at = node.nextNow();
+        at = node.poll();
         if (System.nanoTime() > until) {
-          throw new AssertionError("neither sent on nor denied");
+          throw new AssertionError("neither forwarded nor rejected");
         }
         Thread.onSpinWait();
       }
       if (at != null) {
-        at.line();
-        at.sends(value(id));
-        client.line();
-        client.line();
+        at.readLine();
+        at.send(value(id));
+        client.readLine();
+        client.readLine();
         // So that the next command opens a connection of its own.
-        at.resets();
-        client.resets();
+        at.reset();
+        client.reset();
         eventually(
-            "both ends are seen", () -> proxy.held().toNodes() == 0 && proxy.held().clients() == 0);
+            "the proxy has seen both connections end",
+            () ->
+                proxy.resourceUsage().nodeConnections() == 0
+                    && proxy.resourceUsage().clients() == 0);
         return this;
       }
-      client.line();
+      client.readLine();
     }
   }
 
-  /** Holds the loop while this is done, and for so long at least. */
-  void held(long ms, Step step) throws Exception {
-    CountDownLatch holds = new CountDownLatch(1);
-    CountDownLatch goOn = new CountDownLatch(1);
+  /** Blocks the event loop while a step runs, and for a minimum time. */
+  void whileLoopBlocked(long minMs, Step step) throws Exception {
+    CountDownLatch blocked = new CountDownLatch(1);
+    CountDownLatch unblock = new CountDownLatch(1);
     loop.runOnContext(
         now -> {
-          holds.countDown();
+          blocked.countDown();
           try {
-            goOn.await(PATIENCE_MS, TimeUnit.MILLISECONDS);
+            unblock.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
           } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
           }
         });
-    holds.await();
-    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+    blocked.await();
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(minMs);
     try {
       step.run();
       while (System.nanoTime() < until) {
         Thread.sleep(1);
       }
     } finally {
-      goOn.countDown();
+      unblock.countDown();
     }
   }
 
@@ -269,17 +269,17 @@
     void run() throws Exception;
   }
 
-  /** Asked on the loop until it holds. */
-  void eventually(String what, java.util.function.BooleanSupplier holds) throws Exception {
-    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+  /** Waits until a condition holds, which is evaluated on the event loop. */
+  void eventually(String description, BooleanSupplier condition) throws Exception {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
     while (true) {
-      Promise<Boolean> asked = Promise.promise();
-      loop.runOnContext(now -> asked.complete(holds.getAsBoolean()));
-      if (done(asked.future())) {
+      Promise<Boolean> evaluated = Promise.promise();
+      loop.runOnContext(now -> evaluated.complete(condition.getAsBoolean()));
+      if (await(evaluated.future())) {
         return;
       }
       if (System.nanoTime() > until) {
-        throw new AssertionError(what);
+        throw new AssertionError(description);
       }
       Thread.sleep(2);
     }
@@ -291,69 +291,19 @@
     return stopped.future();
   }
 
-  static <T> T done(Future<T> future) throws Exception {
+  static <T> T await(Future<T> future) throws Exception {
     return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
 
   @Override
   public void close() throws IOException {
     try {
-      done(vertx.close());
+      await(vertx.close());
     } catch (Exception e) {
       throw new IOException(e);
     }
     node.close();
     origin.close();
-    list.close();
-  }
-
-  /** A seam that lets a connection to one address come up only when the test says so. */
-  static final class LateDials implements Transport {
-    private final Transport world;
-
-    /** Where connections come up late from now on. */
-    volatile int port;
-
-    final LinkedBlockingQueue<Runnable> waiting = new LinkedBlockingQueue<>();
-
-    LateDials(Transport world) {
-      this.world = world;
-    }
-
-    @Override
-    public long nanos() {
-      return world.nanos();
-    }
-
-    @Override
-    public long unixMillis() {
-      return world.unixMillis();
-    }
-
-    @Override
-    public Runnable after(Duration span, Runnable what) {
-      return world.after(span, what);
-    }
-
-    @Override
-    public Future<Connection> dial(Address to, Duration within) {
-      if (to.port() != port) {
-        return world.dial(to, within);
-      }
-      Promise<Connection> up = Promise.promise();
-      waiting.add(() -> world.dial(to, within).onComplete(up));
-      return up.future();
-    }
-
-    @Override
-    public Future<Integer> listen(Address at, Consumer<Connection> arrived) {
-      return world.listen(at, arrived);
-    }
-
-    @Override
-    public java.util.function.BiConsumer<io.vertx.core.buffer.Buffer, Address> datagrams(
-        Address at, java.util.function.BiConsumer<io.vertx.core.buffer.Buffer, Address> heard) {
-      return world.datagrams(at, heard);
-    }
+    discovery.close();
   }
 }
--- a/src/test/java/pathgw/server/SocketRaceTest.java
+++ b/src/test/java/pathgw/server/SocketRaceTest.java
@@ -6,227 +6,228 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import pathgw.config.Address;
 import pathgw.server.SocketFixture.Peer;
 import pathgw.transport.Connection;
 import pathgw.transport.VertxTransport;
 
 /**
- * What comes in the very moment in which something else is done, on real sockets, the crossing
- * forced.
+ * Races between the proxy and its peers on real sockets, each forced by blocking the event loop.
  */
 @Timeout(30)
 class SocketRaceTest {
   private static final String ORIGIN = "HTTP/1.1 200 OK\r\n";
 
-  // Clients that have gone.
+  // Clients that close their connection.
 
-  /** Both lie at the machine together: the client has gone for as long as the loop stood still. */
+  /** Requests and close are unread together when the event loop goes on. */
   @Test
-  void ofAFloodWithACloseBehindItNothingIsSentOn() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      // A connection that rests: what is sent on goes out at once.
-      Peer first = world.client();
-      String id = world.id();
-      Peer at = world.carries(first, id);
-      at.sends(SocketFixture.value(id));
-      first.line();
+  void pipelinedRequestsFollowedByCloseAreNotForwarded() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      // An idle connection to the node: a forwarded request is written at once.
+      Peer first = fixture.client();
+      String id = fixture.id();
+      Peer at = fixture.sendAndAwaitAtNode(first, id);
+      at.send(SocketFixture.value(id));
+      first.readLine();
       Thread.sleep(20);
-      world.held(
+      fixture.whileLoopBlocked(
           150,
           () -> {
-            Peer client = world.client();
+            Peer client = fixture.client();
             for (int n = 0; n < 40; n++) {
-              client.sends(SocketFixture.read(world.id()));
+              client.send(SocketFixture.read(fixture.id()));
             }
             client.socket.close();
           });
-      world.eventually("all have gone", () -> world.proxy.held().requests() == 0);
-      first.sends(SocketFixture.read("end"));
-      Peer other = world.node.nextNow();
-      String line = at.line();
+      fixture.eventually(
+          "all requests have ended", () -> fixture.proxy.resourceUsage().requests() == 0);
+      first.send(SocketFixture.read("end"));
+      Peer other = fixture.node.poll();
+      String line = at.readLine();
       assertTrue((line.isEmpty() && other != null) || line.contains("Oend"), line);
     }
   }
 
-  /** Sixteen are owed and no more is read: what is out for that client must end all the same. */
+  /** With sixteen responses pending reading is paused: attempts must be cancelled all the same. */
   @Test
-  void aCloseIsSeenWhileNoMoreIsReadFromAClient() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
+  void clientCloseIsDetectedWhileReadingIsPaused() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
       for (int n = 0; n < 100; n++) {
-        client.sends(SocketFixture.read(world.id()));
+        client.send(SocketFixture.read(fixture.id()));
       }
       List<Peer> out = new ArrayList<>();
       for (int n = 0; n < 4; n++) {
-        out.add(world.node.next());
+        out.add(fixture.node.next());
       }
       client.socket.close();
       for (Peer at : out) {
-        assertTrue(at.rest().startsWith("mg "), "given up as soon as the client had gone");
+        assertTrue(at.readToEnd().startsWith("mg "), "cancelled as soon as the client had closed");
       }
-      world.eventually(
-          "nothing is held for it",
-          () -> world.proxy.held().requests() == 0 && world.proxy.held().clients() == 0);
+      fixture.eventually(
+          "nothing is left open for the client",
+          () ->
+              fixture.proxy.resourceUsage().requests() == 0
+                  && fixture.proxy.resourceUsage().clients() == 0);
     }
   }
 
   @Test
-  void aClientThatEndsItsSideOnlyHasGoneToo() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      Peer at = world.carries(client, world.id());
+  void clientHalfCloseCancelsItsRequests() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      Peer at = fixture.sendAndAwaitAtNode(client, fixture.id());
       client.socket.shutdownOutput();
-      assertEquals("", at.rest());
-      world.eventually("nothing is held for it", () -> world.proxy.held().requests() == 0);
+      assertEquals("", at.readToEnd());
+      fixture.eventually(
+          "nothing is left open for the client",
+          () -> fixture.proxy.resourceUsage().requests() == 0);
     }
   }
 
   @Test
-  void aConnectionThatComesUpAfterItsClientHasGoneCarriesNothing() throws Exception {
-    SocketFixture.LateDials[] late = {null};
-    try (SocketFixture world =
+  void connectionEstablishedAfterClientCloseCarriesNoAttempt() throws Exception {
+    DelayedDialTransport[] delayed = {null};
+    try (SocketFixture fixture =
         new SocketFixture(
-                outside -> late[0] = new SocketFixture.LateDials(outside),
+                transport -> delayed[0] = new DelayedDialTransport(transport),
                 text -> text.replace("\"cancel\": true", "\"cancel\": false"))
-            .knows()) {
-      late[0].port = world.node.port();
-      Peer client = world.client();
-      client.sends(SocketFixture.read(world.id()));
-      Runnable dial = late[0].waiting.poll(SocketFixture.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            .awaitEndpointList()) {
+      delayed[0].port = fixture.node.port();
+      Peer client = fixture.client();
+      client.send(SocketFixture.read(fixture.id()));
+      Runnable dial = delayed[0].delayed.poll(SocketFixture.TIMEOUT_MS, TimeUnit.MILLISECONDS);
       client.socket.close();
-      world.eventually("the client has gone", () -> world.proxy.held().clients() == 0);
-      world.loop.runOnContext(now -> dial.run());
-      Peer at = world.node.next();
+      fixture.eventually(
+          "the client connection has ended", () -> fixture.proxy.resourceUsage().clients() == 0);
+      fixture.loop.runOnContext(now -> dial.run());
+      Peer at = fixture.node.next();
       at.socket.setSoTimeout(200);
       try {
-        assertEquals("", at.line(), "an attempt began for a client that had gone");
-      } catch (java.net.SocketTimeoutException nothing) {
-        // As it should be: it stands idle.
+        assertEquals("", at.readLine(), "an attempt began for a client that had closed");
+      } catch (SocketTimeoutException expected) {
+        // As it should be: the connection is idle.
       }
     }
   }
 
-  // Ends over unread bytes.
+  // Connections that end while bytes are unread.
 
-  /**
-   * At the stop an answer goes out while the next command lies unread: it must reach its client
-   * whole.
-   */
+  /** A response written while the next command is unread must reach its client whole. */
   @Test
-  void theLastAnswerIsNotTakenAlongByAReset() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      String id = world.id();
-      Peer at = world.carries(client, id);
-      Future<Void> stopped = world.stop();
+  void lastResponseDuringShutdownIsNotLostToReset() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      String id = fixture.id();
+      Peer at = fixture.sendAndAwaitAtNode(client, id);
+      Future<Void> stopped = fixture.stop();
       Thread.sleep(600);
-      world.held(
+      fixture.whileLoopBlocked(
           5,
           () -> {
-            at.sends(SocketFixture.value(id));
-            client.sends(SocketFixture.read(world.id()));
+            at.send(SocketFixture.value(id));
+            client.send(SocketFixture.read(fixture.id()));
           });
-      String told = client.rest();
+      String received = client.readToEnd();
       assertTrue(
-          told.equals(SocketFixture.value(id))
-              || told.equals(SocketFixture.value(id) + "SERVER_ERROR busy\r\n"),
-          told);
+          received.equals(SocketFixture.value(id))
+              || received.equals(SocketFixture.value(id) + "SERVER_ERROR busy\r\n"),
+          received);
       client.socket.close();
-      SocketFixture.done(stopped);
+      SocketFixture.await(stopped);
     }
   }
 
-  /**
-   * Read while an answer is owed it counts as taken, whatever ends the connection behind that
-   * answer.
-   */
+  /** A command read while a response is pending counts as received. */
   @Test
-  void aCommandReadBeforeTheEndIsAnswered() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      String id = world.id();
-      Peer at = world.carries(client, id);
-      Future<Void> stopped = world.stop();
+  void commandReadBeforeConnectionEndIsAnswered() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      String id = fixture.id();
+      Peer at = fixture.sendAndAwaitAtNode(client, id);
+      Future<Void> stopped = fixture.stop();
       Thread.sleep(600);
-      client.sends(SocketFixture.read(world.id()));
+      client.send(SocketFixture.read(fixture.id()));
       Thread.sleep(100);
-      at.sends(SocketFixture.value(id));
-      assertEquals(SocketFixture.value(id) + "SERVER_ERROR busy\r\n", client.rest());
+      at.send(SocketFixture.value(id));
+      assertEquals(SocketFixture.value(id) + "SERVER_ERROR busy\r\n", client.readToEnd());
       client.socket.close();
-      SocketFixture.done(stopped);
+      SocketFixture.await(stopped);
     }
   }
 
-  /**
-   * It comes while the proxy has told the client that it ends: resent by the client, never sent on.
-   */
+  /** It arrives after the proxy has ended the connection: the client may resend it safely. */
   @Test
-  void aCommandThatCrossesTheEndIsNotSentOn() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      client.sends("mn\r\n");
-      assertEquals("MN\r\n", client.line());
-      Future<Void> stopped = world.stop();
-      assertEquals("", client.rest(), "an end, not a reset");
-      client.sends(SocketFixture.read(world.id()));
-      SocketFixture.done(stopped);
-      assertNull(world.node.nextNow());
+  void commandCrossingConnectionEndIsNotForwarded() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      client.send("mn\r\n");
+      assertEquals("MN\r\n", client.readLine());
+      Future<Void> stopped = fixture.stop();
+      assertEquals("", client.readToEnd(), "an end, not a reset");
+      client.send(SocketFixture.read(fixture.id()));
+      SocketFixture.await(stopped);
+      assertNull(fixture.node.poll());
     }
   }
 
   @Test
-  void whoComesAfterTheStopIsToldSo() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      String id = world.id();
-      Peer at = world.carries(client, id);
-      Future<Void> stopped = world.stop();
+  void newClientDuringShutdownIsRejected() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      String id = fixture.id();
+      Peer at = fixture.sendAndAwaitAtNode(client, id);
+      Future<Void> stopped = fixture.stop();
       Thread.sleep(600);
-      Peer late = world.client();
-      late.sends(SocketFixture.read(world.id()));
-      assertEquals("SERVER_ERROR busy\r\n", late.rest());
+      Peer late = fixture.client();
+      late.send(SocketFixture.read(fixture.id()));
+      assertEquals("SERVER_ERROR busy\r\n", late.readToEnd());
       late.socket.close();
-      at.sends(SocketFixture.value(id));
-      assertEquals(SocketFixture.value(id), client.rest());
+      at.send(SocketFixture.value(id));
+      assertEquals(SocketFixture.value(id), client.readToEnd());
       client.socket.close();
-      SocketFixture.done(stopped);
+      SocketFixture.await(stopped);
     }
   }
 
-  // Attempts given up.
+  // Attempts that are cancelled.
 
   /**
-   * A write that never was whole may be sent elsewhere: so the rest of it must not go out any more.
+   * A write that was not sent completely may be retried elsewhere, so the remainder must not
+   * follow.
    */
   @Test
-  void ofWhatIsClosedHalfWrittenTheRestNeverGoesOut() throws Exception {
-    try (SocketFixture.Door door = new SocketFixture.Door(peer -> {});
-        SocketFixture world = new SocketFixture()) {
+  void closeDiscardsUnsentBytes() throws Exception {
+    try (SocketFixture.FakeServer door = new SocketFixture.FakeServer(peer -> {});
+        SocketFixture fixture = new SocketFixture()) {
       int size = 32 << 20;
-      VertxTransport outside = new VertxTransport(world.vertx);
-      io.vertx.core.Promise<Connection.CloseReason> over = io.vertx.core.Promise.promise();
-      world.loop.runOnContext(
+      VertxTransport transport = new VertxTransport(fixture.vertx);
+      Promise<Connection.CloseReason> over = Promise.promise();
+      fixture.loop.runOnContext(
           now ->
-              outside
-                  .dial(
-                      new pathgw.config.Address("127.0.0.1", door.port()),
-                      java.time.Duration.ofSeconds(2))
+              transport
+                  .dial(new Address("127.0.0.1", door.port()), Duration.ofSeconds(2))
                   .onSuccess(
                       connection -> {
                         connection.onClose(over::complete);
-                        connection.write(io.vertx.core.buffer.Buffer.buffer(new byte[size]));
+                        connection.write(Buffer.buffer(new byte[size]));
                         connection.close();
                       }));
       Peer peer = door.next();
-      // Not read before: a peer that reads as fast as this side writes could have had it all in
-      // time.
-      SocketFixture.done(over.future());
+      // Not read before: a peer that reads as fast as this side writes could have received
+      // everything.
+      SocketFixture.await(over.future());
       int got = 0;
       byte[] some = new byte[1 << 16];
       try {
@@ -235,153 +236,157 @@
           got += n;
         }
       } catch (SocketException reset) {
-        // As good as an end.
+        // Equivalent to an end of the stream.
       }
       assertTrue(got < size, got + " of " + size);
     }
   }
 
-  /** One that reads nothing must not keep its place for good: a close does not wait for it. */
+  /** A peer that reads nothing must not hold its descriptor forever. */
   @Test
-  void aConnectionIsClosedThoughItsPeerReadsNothing() throws Exception {
-    try (SocketFixture.Door door = new SocketFixture.Door(peer -> {});
-        SocketFixture world = new SocketFixture()) {
-      VertxTransport outside = new VertxTransport(world.vertx);
-      io.vertx.core.Promise<Connection.CloseReason> over = io.vertx.core.Promise.promise();
-      world.loop.runOnContext(
+  void closeDoesNotWaitForPeerThatReadsNothing() throws Exception {
+    try (SocketFixture.FakeServer door = new SocketFixture.FakeServer(peer -> {});
+        SocketFixture fixture = new SocketFixture()) {
+      VertxTransport transport = new VertxTransport(fixture.vertx);
+      Promise<Connection.CloseReason> over = Promise.promise();
+      fixture.loop.runOnContext(
           now ->
-              outside
-                  .dial(
-                      new pathgw.config.Address("127.0.0.1", door.port()),
-                      java.time.Duration.ofSeconds(2))
+              transport
+                  .dial(new Address("127.0.0.1", door.port()), Duration.ofSeconds(2))
                   .onSuccess(
                       connection -> {
                         connection.onClose(over::complete);
-                        connection.write(io.vertx.core.buffer.Buffer.buffer(new byte[32 << 20]));
+                        connection.write(Buffer.buffer(new byte[32 << 20]));
                         connection.close();
                       }));
       door.next();
-      assertEquals(Connection.CloseReason.BROKEN, SocketFixture.done(over.future()));
+      assertEquals(Connection.CloseReason.BROKEN, SocketFixture.await(over.future()));
     }
   }
 
-  // Answers that are cut, and that come late.
+  // Responses that are truncated or late.
 
-  /** The client misses at the node and is given to the origin. */
-  private static Peer atOrigin(SocketFixture world, Peer client, String id) throws Exception {
-    Peer at = world.carries(client, id);
-    at.sends("EN O" + id + "\r\n");
-    Peer origin = world.origin.next();
-    while (!origin.line().equals("\r\n")) {
-      // The head.
+  /** Sends a read that is a miss at the node, and gives the origin's end of its fetch. */
+  private static Peer awaitAtOrigin(SocketFixture fixture, Peer client, String id)
+      throws Exception {
+    Peer at = fixture.sendAndAwaitAtNode(client, id);
+    at.send("EN O" + id + "\r\n");
+    Peer origin = fixture.origin.next();
+    while (!origin.readLine().equals("\r\n")) {
+      // Skip the head.
     }
     return origin;
   }
 
   @Test
-  void anAnswerWithoutLengthThatIsResetReachesNobody() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      Peer origin = atOrigin(world, client, world.id());
-      world.held(
+  void originResponseWithoutLengthThatIsResetIsNotDelivered() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      Peer origin = awaitAtOrigin(fixture, client, fixture.id());
+      fixture.whileLoopBlocked(
           0,
           () -> {
-            origin.sends(ORIGIN + "\r\nhalf of wh");
-            origin.resets();
+            origin.send(ORIGIN + "\r\nhalf of wh");
+            origin.reset();
           });
-      Peer again = world.origin.next();
-      while (!again.line().equals("\r\n")) {
-        // The head.
+      Peer again = fixture.origin.next();
+      while (!again.readLine().equals("\r\n")) {
+        // Skip the head.
       }
-      again.sends(ORIGIN + "\r\nwhole");
+      again.send(ORIGIN + "\r\nwhole");
       again.socket.close();
-      assertTrue(client.line().startsWith("VA 5 "));
-      assertEquals("whole\r\n", client.line());
+      assertTrue(client.readLine().startsWith("VA 5 "));
+      assertEquals("whole\r\n", client.readLine());
     }
   }
 
-  /** The second copy is on its way when the connection is wanted for the next command. */
+  /** The duplicate arrives when the connection is wanted for the next request. */
   @Test
-  void aSecondAnswerOfTheOriginDoesNotMeetTheNextCommand() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      Peer origin = atOrigin(world, client, world.id());
-      origin.sends(ORIGIN + "Content-Length: 3\r\n\r\none");
-      assertTrue(client.line().startsWith("VA 3 "));
-      assertEquals("one\r\n", client.line());
+  void duplicateOriginResponseIsNotTakenForNextRequest() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      Peer origin = awaitAtOrigin(fixture, client, fixture.id());
+      origin.send(ORIGIN + "Content-Length: 3\r\n\r\none");
+      assertTrue(client.readLine().startsWith("VA 3 "));
+      assertEquals("one\r\n", client.readLine());
       Thread.sleep(5);
-      String next = world.id();
-      Peer other = world.client();
-      other.sends(SocketFixture.write(next));
-      Peer second = world.origin.next();
-      while (!second.line().equals("\r\n")) {
-        // The head.
+      String next = fixture.id();
+      Peer other = fixture.client();
+      other.send(SocketFixture.write(next));
+      Peer second = fixture.origin.next();
+      while (!second.readLine().equals("\r\n")) {
+        // Skip the head.
       }
-      origin.sends(ORIGIN + "Content-Length: 3\r\n\r\none");
-      second.sends(ORIGIN + "Content-Length: 3\r\n\r\ntwo");
-      assertEquals("HD O" + next + " ctwo\r\n", other.line());
+      origin.send(ORIGIN + "Content-Length: 3\r\n\r\none");
+      second.send(ORIGIN + "Content-Length: 3\r\n\r\ntwo");
+      assertEquals("HD O" + next + " ctwo\r\n", other.readLine());
     }
   }
 
   @Test
-  void halfALineAndACloseAnswersNothing() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      String id = world.id();
-      Peer at = world.carries(client, id);
-      world.held(
+  void truncatedNodeResponseIsNotDelivered() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      String id = fixture.id();
+      Peer at = fixture.sendAndAwaitAtNode(client, id);
+      fixture.whileLoopBlocked(
           0,
           () -> {
-            at.sends("VA 2 O" + id + "\r\nh");
+            at.send("VA 2 O" + id + "\r\nh");
             at.socket.close();
           });
-      Peer again = world.node.nextNow();
-      // One node: it goes on to nowhere, or there again; in no case to the client.
-      String told = client.line();
-      assertFalse(told.startsWith("VA"), told + (again == null ? "" : ", sent again"));
+      Peer again = fixture.node.poll();
+      // There is one node: a retry can go only there, and the client must get no value.
+      String received = client.readLine();
+      assertFalse(received.startsWith("VA"), received + (again == null ? "" : ", retried"));
     }
   }
 
-  // What attempts tell.
+  // The deadline that attempts carry.
 
-  /** The time that an attempt at the origin tells, from its head. */
-  private static long toldTime(Peer origin) throws Exception {
-    long told = -1;
-    for (String line = origin.line(); !line.equals("\r\n"); line = origin.line()) {
-      told =
+  /** Reads the head of an attempt at the origin and gives its deadline in milliseconds. */
+  private static long readDeadlineLabel(Peer origin) throws Exception {
+    long deadlineMs = -1;
+    for (String line = origin.readLine(); !line.equals("\r\n"); line = origin.readLine()) {
+      deadlineMs =
           line.startsWith("X-Labels: ")
               ? Long.parseLong(line.trim().replaceFirst(".*[:,]d=(\\d+).*", "$1"))
-              : told;
+              : deadlineMs;
     }
-    return told;
+    return deadlineMs;
   }
 
   @Test
-  void aFetchAfterALateMissTellsTheOriginTheTimeThatIsLeft() throws Exception {
-    try (SocketFixture world = new SocketFixture().knows()) {
-      Peer client = world.client();
-      String id = world.id();
-      Peer at = world.carries(client, id);
+  void originFetchAfterSlowMissCarriesRemainingDeadline() throws Exception {
+    try (SocketFixture fixture = new SocketFixture().awaitEndpointList()) {
+      Peer client = fixture.client();
+      String id = fixture.id();
+      Peer at = fixture.sendAndAwaitAtNode(client, id);
       Thread.sleep(200);
-      at.sends("EN O" + id + "\r\n");
-      long told = toldTime(world.origin.next());
-      assertTrue(told > 0 && told <= 1400 - 200, "told " + told + " of 1400 ms, 200 ms later");
+      at.send("EN O" + id + "\r\n");
+      long deadlineMs = readDeadlineLabel(fixture.origin.next());
+      assertTrue(
+          deadlineMs > 0 && deadlineMs <= 1400 - 200,
+          "deadline " + deadlineMs + " of 1400 ms, 200 ms later");
     }
   }
 
   @Test
-  void aWriteWhoseConnectionComesUpLateTellsTheOriginTheTimeThatIsLeft() throws Exception {
-    SocketFixture.LateDials[] late = {null};
-    try (SocketFixture world =
-        new SocketFixture(outside -> late[0] = new SocketFixture.LateDials(outside), text -> text)
-            .knows()) {
-      late[0].port = world.origin.port();
-      world.client().sends(SocketFixture.write(world.id()));
-      Runnable dial = late[0].waiting.poll(SocketFixture.PATIENCE_MS, TimeUnit.MILLISECONDS);
+  void originWriteAfterSlowConnectCarriesRemainingDeadline() throws Exception {
+    DelayedDialTransport[] delayed = {null};
+    try (SocketFixture fixture =
+        new SocketFixture(
+                transport -> delayed[0] = new DelayedDialTransport(transport), text -> text)
+            .awaitEndpointList()) {
+      delayed[0].port = fixture.origin.port();
+      fixture.client().send(SocketFixture.write(fixture.id()));
+      Runnable dial = delayed[0].delayed.poll(SocketFixture.TIMEOUT_MS, TimeUnit.MILLISECONDS);
       Thread.sleep(100);
-      world.loop.runOnContext(now -> dial.run());
-      long told = toldTime(world.origin.next());
-      assertTrue(told > 0 && told <= 290 - 100, "told " + told + " of 290 ms, 100 ms later");
+      fixture.loop.runOnContext(now -> dial.run());
+      long deadlineMs = readDeadlineLabel(fixture.origin.next());
+      assertTrue(
+          deadlineMs > 0 && deadlineMs <= 290 - 100,
+          "deadline " + deadlineMs + " of 290 ms, 100 ms later");
     }
   }
 }
--- a/src/test/java/pathgw/server/WarmUpTest.java
+++ b/src/test/java/pathgw/server/WarmUpTest.java
@@ -13,67 +13,70 @@
 
 /** Requests that a proxy sends through itself before the first client is served. */
 class WarmUpTest extends NetworkFixture {
-  private List<Connection> strangers;
+  private List<Connection> waitingClients;
 
   private WarmUp warmUp() {
     WarmUp warmUp = new WarmUp(timers, CONFIG, WarmUp.ROUNDS, this::dial);
     warmUp
         .run(1)
         .onSuccess(
-            left -> {
-              strangers = new ArrayList<>();
-              left.forEach(strangers::add);
+            waiting -> {
+              waitingClients = new ArrayList<>();
+              waiting.forEach(waitingClients::add);
             });
     return warmUp;
   }
 
   @Test
-  void aStrangerFromAPortOfOnesOwnNumberStaysAStranger() {
+  void clientFromPortOfOwnConnectionIsNotTakenForOwn() {
     WarmUp warmUp = warmUp();
-    FakeConnection stranger = new FakeConnection();
-    stranger.from = "127.9.0.1";
-    warmUp.arrived(stranger, 2);
-    stranger.gives("mn\r\n");
-    assertEquals("", stranger.written.toString());
+    FakeConnection client = new FakeConnection();
+    client.from = "127.9.0.1";
+    warmUp.accept(client, 2);
+    client.gives("mn\r\n");
+    assertEquals("", client.written.toString());
   }
 
   @Test
-  void aWarmUpThatIsStuckStillEndsAndHandsOverWhoWaits() {
+  void stuckWarmUpEndsAtDeadlineAndHandsOverWaitingClients() {
     WarmUp warmUp = warmUp();
-    FakeConnection stranger = new FakeConnection();
-    stranger.from = "127.9.0.1";
-    warmUp.arrived(stranger, 2);
+    FakeConnection client = new FakeConnection();
+    client.from = "127.9.0.1";
+    warmUp.accept(client, 2);
     after(5000);
-    assertEquals(1, strangers.size());
-    assertTrue(warmUp.late(new FakeConnection()), "what it dialled itself is no client");
-    assertFalse(warmUp.late(strangers.get(0)));
+    assertEquals(1, waitingClients.size());
+    assertTrue(
+        warmUp.isOwnConnection(new FakeConnection()),
+        "a connection that it dialled itself is no client");
+    assertFalse(warmUp.isOwnConnection(waitingClients.get(0)));
   }
 
   @Test
-  void whereTheWayToItselfLeadsElsewhereNothingIsWrittenOnItAndTheStartGoesOn() {
+  void nothingIsWrittenWhereOwnAddressLeadsElsewhereAndStartContinues() {
     warmUp();
     after(300);
     assertEquals(List.of(""), dialled.stream().map(s -> s.written.toString()).toList());
     assertTrue(dialled.get(0).closed);
-    assertEquals(List.of(), strangers);
+    assertEquals(List.of(), waitingClients);
   }
 
   @Test
-  void onceTheWayToItselfHasComeUpElsewhereTheStartWaitsForNoMore() {
+  void startContinuesSoonAfterOwnAddressConnectedElsewhere() {
     warmUp();
     pass(60);
-    assertEquals(List.of(), strangers);
+    assertEquals(List.of(), waitingClients);
   }
 
   @Test
-  void moreThanTheLimitDoNotWaitForTheWarmUpButItsOwnDo() {
+  void clientsOverLimitDoNotWaitForWarmUpButOwnConnectionsDo() {
     WarmUp warmUp = warmUp();
-    List<FakeConnection> sockets = new ArrayList<>();
+    List<FakeConnection> connections = new ArrayList<>();
     for (String from : new String[] {"127.9.0.1", "127.9.0.2", "127.9.0.3", "127.0.0.1"}) {
-      sockets.add(new FakeConnection());
-      sockets.get(sockets.size() - 1).from = from;
+      connections.add(new FakeConnection());
+      connections.get(connections.size() - 1).from = from;
     }
     assertEquals(
-        List.of(true, true, false, true), sockets.stream().map(s -> warmUp.arrived(s, 2)).toList());
+        List.of(true, true, false, true),
+        connections.stream().map(s -> warmUp.accept(s, 2)).toList());
   }
 }
--- a/src/test/java/pathgw/simulation/MutatedTransport.java
+++ b/src/test/java/pathgw/simulation/MutatedTransport.java
@@ -40,7 +40,7 @@
   }
 
   static boolean fromClients(Connection connection) {
-    return connection.there().host().startsWith("10.4.");
+    return connection.remoteAddress().host().startsWith("10.4.");
   }
 
   @Override
@@ -102,8 +102,8 @@
     }
 
     @Override
-    public boolean full() {
-      return honest.full();
+    public boolean isWriteQueueFull() {
+      return honest.isWriteQueueFull();
     }
 
     @Override
@@ -127,13 +127,13 @@
     }
 
     @Override
-    public Address here() {
-      return honest.here();
+    public Address localAddress() {
+      return honest.localAddress();
     }
 
     @Override
-    public Address there() {
-      return honest.there();
+    public Address remoteAddress() {
+      return honest.remoteAddress();
     }
   }
 }
--- a/src/test/java/pathgw/simulation/SeededBugTest.java
+++ b/src/test/java/pathgw/simulation/SeededBugTest.java
@@ -241,7 +241,7 @@
                             () ->
                                 world
                                     .honest
-                                    .dial(connection.there(), Duration.ofMillis(75))
+                                    .dial(connection.remoteAddress(), Duration.ofMillis(75))
                                     .onSuccess(other -> other.write(lost)));
                       }
                       over.accept(how);
--- a/src/test/java/pathgw/transport/FakeConnection.java
+++ b/src/test/java/pathgw/transport/FakeConnection.java
@@ -72,7 +72,7 @@
   }
 
   @Override
-  public boolean full() {
+  public boolean isWriteQueueFull() {
     return full;
   }
 
@@ -93,12 +93,12 @@
   }
 
   @Override
-  public Address here() {
+  public Address localAddress() {
     return new Address(from, 1);
   }
 
   @Override
-  public Address there() {
-    return here();
+  public Address remoteAddress() {
+    return localAddress();
   }
 }
