--- a/src/main/java/pathgw/decision/RequestState.java
+++ b/src/main/java/pathgw/decision/RequestState.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import pathgw.algorithm.BetaPosterior;
-import pathgw.algorithm.LatencyEstimate;
 import pathgw.decision.Settings.RequestClass;
 
 /** One request from its arrival until all of its attempts have ended. */
@@ -12,7 +11,7 @@
   long id;
   long order;
   RequestClass requestClass;
-  LatencyEstimate pace;
+  RequestClassState pace;
   double scale = 1;
   int tenant;
   long key;
--- a/src/test/java/pathgw/decision/ColdStartFleet.java
+++ b/src/test/java/pathgw/decision/ColdStartFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.stream.LongStream;
+import pathgw.algorithm.RendezvousHash;
 
 /**
  * A fleet of modules before one cold node, none of which hears of the others. What the node gets
@@ -122,7 +123,7 @@
       long best = Long.MIN_VALUE;
       long first = 0;
       for (long id = 1; id <= NODES; id++) {
-        long score = DecisionEngine.score(new NodeState(id), text) ^ Long.MIN_VALUE;
+        long score = RendezvousHash.score(RendezvousHash.prefix(id), text) ^ Long.MIN_VALUE;
         if (score > best) {
           best = score;
           first = id;
--- a/src/test/java/pathgw/decision/DecisionEngineTest.java
+++ b/src/test/java/pathgw/decision/DecisionEngineTest.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import pathgw.algorithm.RendezvousHash;
 import pathgw.decision.Settings.Effect;
 import pathgw.decision.Settings.Group;
 
@@ -24,18 +25,19 @@
   void scoreIsMurmur3OfNodeBarKey() {
     assertEquals(
         Long.parseUnsignedLong("13335759447878352755"),
-        DecisionEngine.score(new NodeState(1), "42".getBytes(StandardCharsets.UTF_8)));
+        RendezvousHash.score(RendezvousHash.prefix(1), "42".getBytes(StandardCharsets.UTF_8)));
     assertEquals(
         3615641744356819593L,
-        DecisionEngine.score(
-            new NodeState(4294967295L), "18446744073709551615".getBytes(StandardCharsets.UTF_8)));
+        RendezvousHash.score(
+            RendezvousHash.prefix(4294967295L),
+            "18446744073709551615".getBytes(StandardCharsets.UTF_8)));
   }
 
   @Test
   void scoresAreComparedUnsignedAndTiesByNode() {
-    assertTrue(DecisionEngine.compare(-1, 1, 1, 2) > 0);
-    assertTrue(DecisionEngine.compare(5, 2, 5, 1) > 0);
-    assertTrue(DecisionEngine.compare(5, 1, 5, 2) < 0);
+    assertTrue(RendezvousHash.compare(-1, 1, 1, 2) > 0);
+    assertTrue(RendezvousHash.compare(5, 2, 5, 1) > 0);
+    assertTrue(RendezvousHash.compare(5, 1, 5, 2) < 0);
   }
 
   @Test
--- a/src/test/java/pathgw/decision/ProxyPerClientTest.java
+++ b/src/test/java/pathgw/decision/ProxyPerClientTest.java
@@ -8,7 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
-import pathgw.algorithm.LatencyEstimate;
+import pathgw.algorithm.RendezvousHash;
 
 /**
  * What has changed for a proxy that is one client's alone: hundreds of them, each with few
@@ -39,8 +39,8 @@
   }
 
   private static long score(long node, long key) {
-    return DecisionEngine.score(
-        new NodeState(node), Long.toString(key).getBytes(StandardCharsets.UTF_8));
+    return RendezvousHash.score(
+        RendezvousHash.prefix(node), Long.toString(key).getBytes(StandardCharsets.UTF_8));
   }
 
   @Test
@@ -57,7 +57,7 @@
                 k ->
                     LongStream.rangeClosed(1, 4)
                         .allMatch(
-                            n -> DecisionEngine.compare(score(node, k), node, score(n, k), n) >= 0))
+                            n -> RendezvousHash.compare(score(node, k), node, score(n, k), n) >= 0))
             .findFirst()
             .getAsLong();
     fixture.at(20_000).asks(2, 0, 0, another);
@@ -124,7 +124,7 @@
 
   @Test
   void namedWorkSetsHowLongAnAnswerMayTake() {
-    LatencyEstimate pace = new LatencyEstimate();
+    RequestClassState pace = new RequestClassState();
     assertEquals(1, pace.scale(DecisionEngineFixture.START));
     assertEquals(1, pace.scale(DecisionEngineFixture.ms(100)));
     assertTrue(
