--- a/src/main/java/pathgw/client/ResponseQueue.java
+++ b/src/main/java/pathgw/client/ResponseQueue.java
@@ -69,7 +69,7 @@
    */
   boolean writeUnsent() {
     boolean written = false;
-    while (!unsent.isEmpty() && !connection.full()) {
+    while (!unsent.isEmpty() && !connection.isWriteQueueFull()) {
       Buffer piece = pollPiece();
       unsentBytes -= piece.length();
       lastWriteAt = timers.now();
--- a/src/main/java/pathgw/simulation/ScenarioRun.java
+++ b/src/main/java/pathgw/simulation/ScenarioRun.java
@@ -94,14 +94,14 @@
     }
     SimulatedProxy proxy = environment.members().proxyNamed(process.name());
     if (proxy.isServing(process)) {
-      checker.checkBounds(proxy.number(), proxy.server().held());
+      checker.checkBounds(proxy.number(), proxy.server().resourceUsage());
     }
   }
 
   private void checkEnd() {
     for (SimulatedProxy proxy : environment.members().proxies()) {
       if (proxy.isServing()) {
-        checker.checkNothingHeld(proxy.number(), proxy.server().held());
+        checker.checkNothingHeld(proxy.number(), proxy.server().resourceUsage());
       }
     }
     long lastRequestMs = events.now() / NANOS_PER_MILLI - SETTLE_MS;
--- a/src/main/java/pathgw/simulation/cluster/FakeConnections.java
+++ b/src/main/java/pathgw/simulation/cluster/FakeConnections.java
@@ -29,7 +29,7 @@
 
   /** The name of the proxy at the other end of a connection. */
   static String proxyName(VirtualConnection connection) {
-    return SimulatedProxy.nameOfHost(connection.there().host());
+    return SimulatedProxy.nameOfHost(connection.remoteAddress().host());
   }
 
   private record VirtualSide(VirtualConnection connection) implements ConnectionSide {
--- a/src/main/java/pathgw/simulation/cluster/ProxyLifecycle.java
+++ b/src/main/java/pathgw/simulation/cluster/ProxyLifecycle.java
@@ -200,6 +200,6 @@
 
   private void reload(SimulatedProxy proxy) {
     Config config = parse(configurations.of(proxy));
-    environment.network().runSoon(proxy.process, () -> proxy.server.readAgain(config));
+    environment.network().runSoon(proxy.process, () -> proxy.server.reload(config));
   }
 }
--- a/src/main/java/pathgw/simulation/invariant/InvariantChecker.java
+++ b/src/main/java/pathgw/simulation/invariant/InvariantChecker.java
@@ -9,7 +9,7 @@
 import pathgw.fake.ClientObserver;
 import pathgw.fake.Request;
 import pathgw.observability.RequestObserver;
-import pathgw.server.ProxyServer;
+import pathgw.server.ResourceUsage;
 
 /**
  * Observes all of one run and keeps the first violation of a rule.
@@ -110,12 +110,12 @@
   }
 
   /** Checks a proxy's bounds after each of its steps. */
-  public void checkBounds(int proxy, ProxyServer.Held held) {
+  public void checkBounds(int proxy, ResourceUsage held) {
     resourceRules.checkBounds(proxy, held);
   }
 
   /** Checks at the end of a run, when no client is left, that a proxy holds nothing. */
-  public void checkNothingHeld(int proxy, ProxyServer.Held held) {
+  public void checkNothingHeld(int proxy, ResourceUsage held) {
     resourceRules.checkNothingHeld(proxy, held);
   }
 
--- a/src/main/java/pathgw/simulation/invariant/ResourceInvariants.java
+++ b/src/main/java/pathgw/simulation/invariant/ResourceInvariants.java
@@ -1,7 +1,7 @@
 package pathgw.simulation.invariant;
 
 import java.util.Locale;
-import pathgw.server.ProxyServer;
+import pathgw.server.ResourceUsage;
 
 /**
  * Rule 5, what the project requires besides: bounded resources, none leaked, no uncaught exception,
@@ -31,13 +31,13 @@
   }
 
   /** Checks the bounds of a proxy after each of its steps. */
-  void checkBounds(int proxy, ProxyServer.Held held) {
-    if (held.clients() > held.mostClients()
-        || held.toNodes() > held.mostToNodes()
-        || held.requests() > held.mostClients() * MAX_REQUESTS_PER_CLIENT) {
+  void checkBounds(int proxy, ResourceUsage held) {
+    if (held.clients() > held.maxClients()
+        || held.nodeConnections() > held.maxNodeConnections()
+        || held.requests() > held.maxClients() * MAX_REQUESTS_PER_CLIENT) {
       run.violations.report(RULE, "bounds", "p" + proxy + " holds " + held);
     }
-    int descriptors = held.clients() + held.toNodes() + OTHER_DESCRIPTORS;
+    int descriptors = held.clients() + held.nodeConnections() + OTHER_DESCRIPTORS;
     if (descriptors > run.limits.maxDescriptors()) {
       run.violations.report(
           RULE,
@@ -47,8 +47,8 @@
   }
 
   /** Checks at the end of a run, when no client is left, that a proxy holds nothing. */
-  void checkNothingHeld(int proxy, ProxyServer.Held held) {
-    if (held.requests() > 0 || held.clients() > 0 || held.toNodes() > 0) {
+  void checkNothingHeld(int proxy, ResourceUsage held) {
+    if (held.requests() > 0 || held.clients() > 0 || held.nodeConnections() > 0) {
       run.violations.report(RULE, "leak", "p" + proxy + " still holds " + held);
     }
   }
--- a/src/main/java/pathgw/simulation/network/VirtualConnection.java
+++ b/src/main/java/pathgw/simulation/network/VirtualConnection.java
@@ -129,7 +129,7 @@
       return;
     }
     unreadByRemote += bytes.length();
-    wasFull |= full();
+    wasFull |= isWriteQueueFull();
     int split = network.splitPosition(bytes.length());
     if (split > 0) {
       sendPiece(bytes.slice(0, split).copy());
@@ -178,7 +178,7 @@
   }
 
   @Override
-  public boolean full() {
+  public boolean isWriteQueueFull() {
     return unreadByRemote >= FULL_BYTES;
   }
 
@@ -262,12 +262,12 @@
   }
 
   @Override
-  public Address here() {
+  public Address localAddress() {
     return localAddress;
   }
 
   @Override
-  public Address there() {
+  public Address remoteAddress() {
     return remoteAddress;
   }
 }
