--- a/src/test/java/pathgw/discovery/HttpExchangeTest.java
+++ b/src/test/java/pathgw/discovery/HttpExchangeTest.java
@@ -2,11 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import pathgw.config.Address;
 import pathgw.transport.FakeConnection;
 
@@ -95,10 +100,28 @@
     assertReceived(List.of(), expected);
   }
 
-  @Test
-  void chunkWithoutValidSizeEndsTheExchange() {
-    respond(CHUNKED_HEAD + "-1\r\n{}\r\n");
-    assertReceived(List.of(), List.of(INVALID_CHUNK));
+  private static Stream<Arguments> responsesWithoutBodyLines() {
+    String lengthHead = "HTTP/1.1 200 OK\r\ncontent-length: ";
+    CallEnd lineTooLong = CallEnd.of(CallEnd.Reason.LINE_TOO_LONG);
+    return Stream.of(
+        arguments(lengthHead + "0\r\n\r\n", COMPLETE),
+        arguments(lengthHead + "x\r\n\r\n", new CallEnd(CallEnd.Reason.INVALID_LENGTH, "x")),
+        arguments(
+            lengthHead + "4194305\r\n\r\n", new CallEnd(CallEnd.Reason.INVALID_LENGTH, "4194305")),
+        arguments("nonsense\r\n", CallEnd.of(CallEnd.Reason.NOT_HTTP)),
+        arguments("HTTP/1.1 200 " + "x".repeat(1024), lineTooLong),
+        arguments(CHUNKED_HEAD + "-1\r\n{}\r\n", INVALID_CHUNK),
+        arguments(CHUNKED_HEAD + "400001\r\n", INVALID_CHUNK),
+        arguments(CHUNKED_HEAD + "2\r\n{}xx", INVALID_CHUNK),
+        arguments(CHUNKED_HEAD + "1".repeat(1025), lineTooLong));
+  }
+
+  @ParameterizedTest
+  @MethodSource("responsesWithoutBodyLines")
+  void emptyOrMalformedResponseEndsTheExchange(String response, CallEnd end) {
+    respond(response);
+    assertReceived(List.of(), List.of(end));
+    assertTrue(connection.closed);
   }
 
   @Test
--- a/src/test/java/pathgw/driver/DecisionDriverTest.java
+++ b/src/test/java/pathgw/driver/DecisionDriverTest.java
@@ -2,12 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import pathgw.fixture.NetworkFixture;
 
-/** The order in which the decision engine gets its inputs. */
+/** In which order the decision engine gets its inputs, and when its decisions are carried out. */
 class DecisionDriverTest extends NetworkFixture {
   @Test
   void inputSubmittedByAnotherInputIsProcessedAfterIt() {
@@ -19,4 +20,16 @@
         });
     assertEquals(List.of("first", "second"), order);
   }
+
+  @Test
+  void decisionsAreDeferredUntilALateEventLoopHasReadWhatArrived() {
+    nodes("n1");
+    timers.schedule(Duration.ofMillis(1), () -> {});
+    nanos += Duration.ofMillis(50).toNanos();
+    asks();
+    assertEquals(0, attempts(), "the node's draining may lie unread");
+    after(1);
+    after(2);
+    assertEquals(1, attempts());
+  }
 }
--- a/src/test/java/pathgw/gossip/GossipMessageTest.java
+++ b/src/test/java/pathgw/gossip/GossipMessageTest.java
@@ -2,9 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.buffer.Buffer;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -25,12 +26,13 @@
   @ValueSource(booleans = {true, false})
   void encodedMessageIsDecoded(boolean success) {
     GossipMessage message = new GossipMessage(-NODE, success);
-    assertEquals(Optional.of(message), GossipMessage.decode(message.encode()));
+    assertTrue(GossipMessage.isMessage(message.encode()));
+    assertEquals(message, GossipMessage.decode(message.encode()));
   }
 
   @ParameterizedTest
   @ValueSource(ints = {0, 8, 10})
-  void datagramOfOtherLengthIsIgnored(int length) {
-    assertEquals(Optional.empty(), GossipMessage.decode(Buffer.buffer(new byte[length])));
+  void datagramOfOtherLengthIsNoMessage(int length) {
+    assertFalse(GossipMessage.isMessage(Buffer.buffer(new byte[length])));
   }
 }
