--- a/src/test/java/pathgw/transport/EventLoopTimersTest.java
+++ b/src/test/java/pathgw/transport/EventLoopTimersTest.java
@@ -9,9 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/**
- * The loop's timers, which the test lets fire in the order in which a loop that stands still does.
- */
+/** Timers whose event loop the test runs, in the order in which one that was blocked does. */
 class EventLoopTimersTest {
   private final List<Runnable> scheduled = new ArrayList<>();
   private long nanos;
@@ -19,33 +17,33 @@
       new EventLoopTimers(
           () -> nanos,
           0,
-          (span, what) -> {
-            scheduled.add(what);
-            return () -> scheduled.remove(what);
+          (delay, task) -> {
+            scheduled.add(task);
+            return () -> scheduled.remove(task);
           });
 
-  private void passes(long ms) {
+  private void advance(long ms) {
     nanos += Duration.ofMillis(ms).toNanos();
   }
 
   /**
-   * The loop stood still for 183 ms and at once for 207 more; the timer that ends the first was due
-   * behind the one that told of the second. Two commands that had lain unread for 370 ms were cut
-   * off as idle.
+   * The loop was blocked for 183 ms and at once for 207 more; the timer that ends the first lag was
+   * due after the one that reported the second. Two connections whose commands had been unread for
+   * 370 ms were closed as idle.
    */
   @Test
-  void aSecondStopIsNotOverWithTheFirst() {
+  void secondBlockDoesNotEndWithTheFirst() {
     timers.schedule(Duration.ofMillis(1), () -> timers.schedule(Duration.ofMillis(1), () -> {}));
-    passes(184);
+    advance(184);
     scheduled.remove(0).run();
-    Runnable firstIsOver = scheduled.remove(0);
-    passes(208);
+    Runnable endOfFirst = scheduled.remove(0);
+    advance(208);
     scheduled.remove(0).run();
-    Runnable secondIsOver = scheduled.remove(0);
-    firstIsOver.run();
+    Runnable endOfSecond = scheduled.remove(0);
+    endOfFirst.run();
     assertFalse(timers.hasCaughtUp(), "nothing has been read since");
     assertEquals(Duration.ofMillis(207), timers.lag());
-    secondIsOver.run();
+    endOfSecond.run();
     assertTrue(timers.hasCaughtUp());
   }
 }
--- a/src/test/java/pathgw/transport/FakeConnection.java
+++ b/src/test/java/pathgw/transport/FakeConnection.java
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 import pathgw.config.Address;
 
-/** One side of a connection; the test is the other, sees what is written and gives what is read. */
+/** A connection whose other side is the test: it sees what is written and supplies what is read. */
 public final class FakeConnection implements Connection {
   public final StringBuilder written = new StringBuilder();
   public int timesWritten;
@@ -34,34 +34,34 @@
   }
 
   public void breaks() {
-    over(CloseReason.BROKEN);
+    close(CloseReason.BROKEN);
   }
 
-  /** The test's side says that no more comes. */
+  /** The other side ends the stream. */
   public void ends() {
-    over(CloseReason.END_OF_STREAM);
+    close(CloseReason.END_OF_STREAM);
   }
 
-  private void over(CloseReason how) {
+  private void close(CloseReason reason) {
     closed = true;
     if (onClose != null) {
-      onClose.accept(how);
+      onClose.accept(reason);
     }
   }
 
   @Override
-  public void onData(Consumer<Buffer> came) {
-    reader = came;
+  public void onData(Consumer<Buffer> handler) {
+    reader = handler;
   }
 
   @Override
-  public void onClose(Consumer<CloseReason> over) {
-    onClose = over;
+  public void onClose(Consumer<CloseReason> handler) {
+    onClose = handler;
   }
 
   @Override
-  public void onWritable(Runnable room) {
-    onWritable = room;
+  public void onWritable(Runnable handler) {
+    onWritable = handler;
   }
 
   @Override
--- a/src/test/java/pathgw/transport/VertxTransportTest.java
+++ b/src/test/java/pathgw/transport/VertxTransportTest.java
@@ -1,59 +1,72 @@
 package pathgw.transport;
 
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.ChannelOption;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import pathgw.config.Address;
 
+/** The transport on real sockets, on loopback. */
 class VertxTransportTest {
-  private static final String HERE = "127.0.0.1";
+  private static final String LOOPBACK = "127.0.0.1";
 
   /**
-   * Of several, since a busy machine may hold up one; held back by the kernel each takes 200 ms.
+   * The best of several, since a busy machine may delay one; delayed by the kernel each takes 200
+   * ms.
    */
   @Test
-  void aConnectionOnWhichNothingIsWrittenIsHeardOfAtOnce() throws Exception {
+  void connectionIsAcceptedAtOnceThoughNothingIsWritten() throws Exception {
     Vertx vertx = VertxTransport.vertx();
     try {
       VertxTransport transport = new VertxTransport(vertx);
       long best = Long.MAX_VALUE;
       for (int i = 0; i < 5; i++) {
-        Promise<Long> heard = Promise.promise();
+        Promise<Long> acceptedAt = Promise.promise();
         int port =
-            done(
+            await(
                 transport.listen(
-                    new Address(HERE, 0), arrived -> heard.tryComplete(System.nanoTime())));
-        long upAt =
-            done(
+                    new Address(LOOPBACK, 0),
+                    connection -> acceptedAt.tryComplete(System.nanoTime())));
+        long connectedAt =
+            await(
                 transport
-                    .dial(new Address(HERE, port), Duration.ofSeconds(5))
-                    .map(up -> System.nanoTime()));
-        best = Math.min(best, done(heard.future()) - upAt);
+                    .dial(new Address(LOOPBACK, port), Duration.ofSeconds(5))
+                    .map(connection -> System.nanoTime()));
+        best = Math.min(best, await(acceptedAt.future()) - connectedAt);
       }
-      long took = TimeUnit.NANOSECONDS.toMillis(best);
-      assertTrue(took < 120, took + " ms");
+      long bestMs = TimeUnit.NANOSECONDS.toMillis(best);
+      assertTrue(bestMs < 120, bestMs + " ms");
     } finally {
-      done(vertx.close());
+      await(vertx.close());
     }
   }
 
-  /** Small writes that the system holds back would go with a reset. */
+  /** Small writes that the kernel delays would be lost in a reset. */
   @Test
-  void neitherEndHoldsSmallWritesBack() throws Exception {
+  void bothEndsDisableDelayOfSmallWrites() throws Exception {
     Vertx vertx = VertxTransport.vertx();
     try {
       VertxTransport transport = new VertxTransport(vertx);
-      Promise<Connection> came = Promise.promise();
-      int port = done(transport.listen(new Address(HERE, 0), came::tryComplete));
-      Connection dialled = done(transport.dial(new Address(HERE, port), Duration.ofSeconds(5)));
-      for (Connection end : List.of(dialled, done(came.future()))) {
+      Promise<Connection> accepted = Promise.promise();
+      int port = await(transport.listen(new Address(LOOPBACK, 0), accepted::tryComplete));
+      Connection connected =
+          await(transport.dial(new Address(LOOPBACK, port), Duration.ofSeconds(5)));
+      for (Connection end : List.of(connected, await(accepted.future()))) {
         assertTrue(
             ((VertxTransport.VertxConnection) end)
                 .channel()
@@ -61,11 +74,45 @@
                 .getOption(ChannelOption.TCP_NODELAY));
       }
     } finally {
-      done(vertx.close());
+      await(vertx.close());
     }
   }
 
-  private static <T> T done(Future<T> future) throws Exception {
+  /** A listener whose accept queue is full drops further attempts to connect without an answer. */
+  @Test
+  void connectionNotEstablishedInTimeFailsWithConnectTimeout() throws Exception {
+    Vertx vertx = VertxTransport.vertx();
+    List<Socket> queued = new ArrayList<>();
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+      for (int i = 0; i < 8; i++) {
+        queued.add(connectWithoutWaiting(listener));
+      }
+      VertxTransport transport = new VertxTransport(vertx);
+      Address address = new Address(LOOPBACK, listener.getLocalPort());
+      ExecutionException failure =
+          assertThrows(
+              ExecutionException.class,
+              () -> await(transport.dial(address, Duration.ofMillis(100))));
+      assertInstanceOf(Transport.ConnectTimeoutException.class, failure.getCause());
+    } finally {
+      for (Socket socket : queued) {
+        socket.close();
+      }
+      await(vertx.close());
+    }
+  }
+
+  private static Socket connectWithoutWaiting(ServerSocket listener) throws IOException {
+    Socket socket = new Socket();
+    try {
+      socket.connect(listener.getLocalSocketAddress(), 50);
+    } catch (SocketTimeoutException queueFull) {
+      // As it should be once the queue is full.
+    }
+    return socket;
+  }
+
+  private static <T> T await(Future<T> future) throws Exception {
     return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
 }
