--- a/src/test/java/pathgw/ArchitectureTest.java
+++ b/src/test/java/pathgw/ArchitectureTest.java
@@ -10,7 +10,7 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import org.junit.jupiter.api.Test;
 
-/** Which package may depend on which. */
+/** Which packages and classes may depend on which. */
 class ArchitectureTest {
   private static final JavaClasses CLASSES =
       new ClassFileImporter()
@@ -28,14 +28,20 @@
               DescribedPredicate.not(
                   JavaClass.Predicates.belongTo(
                       DescribedPredicate.describe(
-                          "an exception or a coder",
+                          "an exception or URLEncoder",
                           c ->
                               c.isAssignableTo(Exception.class)
                                   || c.getSimpleName().equals("URLEncoder")))));
 
+  /** The classes of this program outside the given packages. */
+  private static DescribedPredicate<JavaClass> ourPackagesExcept(String... packages) {
+    return JavaClass.Predicates.resideInAPackage("pathgw..")
+        .and(DescribedPredicate.not(JavaClass.Predicates.resideInAnyPackage(packages)));
+  }
+
   @Test
   void packagesHaveNoCycles() {
-    // Main alone, which starts the fronts, looks down from the top.
+    // Main alone, which starts the subcommands, depends on packages at the top.
     JavaClasses withoutMain =
         CLASSES.that(DescribedPredicate.not(JavaClass.Predicates.simpleName("Main")));
     slices().matching("pathgw.(*)..").should().beFreeOfCycles().check(withoutMain);
@@ -46,34 +52,25 @@
         .check(withoutMain);
   }
 
-  /** Decisions are made from what the caller tells, with no other part of the program in sight. */
+  /** Decisions depend only on the inputs of the caller, so that every driver gets the same ones. */
   @Test
-  void decisionsKnowAlgorithmsAndAlgorithmsNothingOfOurs() {
+  void decisionDependsOnlyOnAlgorithmAndAlgorithmOnNoOtherPackage() {
     noClasses()
         .that()
         .resideInAPackage("pathgw.decision..")
         .should()
-        .dependOnClassesThat(
-            JavaClass.Predicates.resideInAPackage("pathgw..")
-                .and(
-                    DescribedPredicate.not(
-                        JavaClass.Predicates.resideInAnyPackage(
-                            "pathgw.decision..", "pathgw.algorithm.."))))
+        .dependOnClassesThat(ourPackagesExcept("pathgw.decision..", "pathgw.algorithm.."))
         .check(CLASSES);
     noClasses()
         .that()
         .resideInAPackage("pathgw.algorithm..")
         .should()
-        .dependOnClassesThat(
-            JavaClass.Predicates.resideInAPackage("pathgw..")
-                .and(
-                    DescribedPredicate.not(
-                        JavaClass.Predicates.resideInAPackage("pathgw.algorithm.."))))
+        .dependOnClassesThat(ourPackagesExcept("pathgw.algorithm.."))
         .check(CLASSES);
   }
 
   @Test
-  void servingCodeKnowsNeitherFakesNorSimulationNorCommandLine() {
+  void servingCodeDoesNotDependOnFakesSimulationOrCommandLine() {
     noClasses()
         .that()
         .resideOutsideOfPackages("pathgw", "pathgw.fake..", "pathgw.simulation..", "pathgw.cli..")
@@ -85,16 +82,13 @@
         .that()
         .resideInAPackage("pathgw.fake..")
         .should()
-        .dependOnClassesThat(
-            JavaClass.Predicates.resideInAPackage("pathgw..")
-                .and(
-                    DescribedPredicate.not(JavaClass.Predicates.resideInAPackage("pathgw.fake.."))))
+        .dependOnClassesThat(ourPackagesExcept("pathgw.fake.."))
         .check(CLASSES);
   }
 
-  /** It loads time zones and locales, which a proxy does while its clients go unserved. */
+  /** It loads time zones and locales, which prolongs a start, in which no client is served. */
   @Test
-  void jsonMapperIsNeverLoaded() {
+  void nothingDependsOnJacksonObjectMapper() {
     noClasses()
         .should()
         .dependOnClassesThat()
@@ -103,7 +97,7 @@
   }
 
   @Test
-  void oneClassSeesSocketsAndOneReadsTheClock() {
+  void onlyVertxTransportUsesSocketsAndClock() {
     noClasses()
         .that()
         .doNotHaveFullyQualifiedName("pathgw.server.ClassArchiveTraining")
@@ -125,7 +119,7 @@
   }
 
   @Test
-  void simulationHasNoThreadsAndNoRandomnessOfItsOwn() {
+  void simulationUsesNoThreadsAndNoUnseededRandomness() {
     noClasses()
         .that()
         .resideInAnyPackage("pathgw.simulation..", "pathgw.fake..")
--- a/src/test/java/pathgw/KnownRedTest.java
+++ b/src/test/java/pathgw/KnownRedTest.java
@@ -13,31 +13,31 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What CI makes of the list of tests that are known to fail. */
+/** How CI judges test reports by the list of tests that are known to fail. */
 class KnownRedTest {
-  private static final String RED = "pathgw.server.XTest#red, the node forgets, issue 7\n";
+  private static final String LISTED_TEST = "pathgw.server.XTest#red, the node forgets, issue 7\n";
 
   @TempDir Path folder;
 
-  private void report(String... cases) throws IOException {
+  private void writeReport(String... cases) throws IOException {
     Files.createDirectories(folder.resolve("reports"));
     Files.writeString(
         folder.resolve("reports/TEST-pathgw.server.XTest.xml"),
         "<testsuite>" + String.join("", cases) + "</testsuite>");
   }
 
-  private static String green(String name) {
+  private static String passed(String name) {
     return "<testcase classname='pathgw.server.XTest' name='" + name + "'/>";
   }
 
-  private static String red(String name) {
+  private static String failed(String name) {
     return "<testcase classname='pathgw.server.XTest' name='"
         + name
         + "'><failure>no</failure></testcase>";
   }
 
-  /** The exit status and what was said. */
-  private String judged(String list, boolean reports) throws IOException, InterruptedException {
+  /** Runs the check and gives its exit status and its output. */
+  private String run(String list, boolean withReports) throws IOException, InterruptedException {
     Path file = folder.resolve("KNOWN-RED.txt");
     Files.deleteIfExists(file);
     if (list != null) {
@@ -45,60 +45,64 @@
     }
     String java = ProcessHandle.current().info().command().orElse("java");
     List<String> command = new ArrayList<>(List.of(java, ".ci/KnownRed.java", file.toString()));
-    if (reports) {
+    if (withReports) {
       command.add(folder.resolve("reports").toString());
       command.add(folder.resolve("none").toString());
     }
     Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
-    String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     assertTrue(process.waitFor(30, TimeUnit.SECONDS));
-    return process.exitValue() + " " + said.trim();
+    return process.exitValue() + " " + output.trim();
   }
 
   @Test
-  void aListedTestThatFailsIsPassedOverAndPrinted() throws Exception {
-    report(green("one"), red("red"));
-    assertEquals("0 known-red: passed over: " + RED.trim(), judged(RED, true));
+  void listedTestThatFailsIsToleratedAndPrinted() throws Exception {
+    writeReport(passed("one"), failed("red"));
+    assertEquals("0 known-red: passed over: " + LISTED_TEST.trim(), run(LISTED_TEST, true));
     assertEquals(
         "1 known-red: failed or was skipped, and is not listed: pathgw.server.XTest#red",
-        judged(null, true));
-    report(green("one"), red("two"), red("red"));
+        run(null, true));
+    writeReport(passed("one"), failed("two"), failed("red"));
     assertEquals(
         "1 known-red: passed over: "
-            + RED.trim()
+            + LISTED_TEST.trim()
             + "\nknown-red: failed or was skipped, and is not listed: pathgw.server.XTest#two",
-        judged(RED, true));
+        run(LISTED_TEST, true));
   }
 
   @Test
-  void aListedTestThatPassesOrIsNotThereIsToBeStruck() throws Exception {
-    report(green("red"));
+  void listedTestThatPassesOrDoesNotExistIsAnError() throws Exception {
+    writeReport(passed("red"));
     assertEquals(
         "1 known-red: listed, but it passes; strike it: pathgw.server.XTest#red",
-        judged(RED, true));
-    report(green("one"));
+        run(LISTED_TEST, true));
+    writeReport(passed("one"));
     assertEquals(
         "1 known-red: listed, but there is no such test: pathgw.server.XTest#red",
-        judged(RED, true));
+        run(LISTED_TEST, true));
   }
 
   @Test
-  void skippingIsNoWayRoundIt() throws Exception {
-    report(
-        green("one"), "<testcase classname='pathgw.server.XTest' name='two'><skipped/></testcase>");
+  void skippedTestCountsAsFailed() throws Exception {
+    writeReport(
+        passed("one"),
+        "<testcase classname='pathgw.server.XTest' name='two'><skipped/></testcase>");
     assertEquals(
         "1 known-red: failed or was skipped, and is not listed: pathgw.server.XTest#two",
-        judged("", true));
+        run("", true));
   }
 
   @Test
-  void theListIsShortAndEachLineWhole() throws Exception {
-    assertEquals("0 ", judged(null, false));
-    assertEquals("0 ", judged("\n" + RED, false));
+  void listIsLimitedToThreeWellFormedLines() throws Exception {
+    assertEquals("0 ", run(null, false));
+    assertEquals("0 ", run("\n" + LISTED_TEST, false));
     assertEquals(
         "1 known-red: 4 lines, 3 at most",
-        judged(
-            RED + RED.replace("red", "b") + RED.replace("red", "c") + RED.replace("red", "d"),
+        run(
+            LISTED_TEST
+                + LISTED_TEST.replace("red", "b")
+                + LISTED_TEST.replace("red", "c")
+                + LISTED_TEST.replace("red", "d"),
             false));
     for (String bad :
         new String[] {
@@ -108,7 +112,7 @@
           "pathgw.XTest#a, , issue 3",
           "pathgw.XTest#a, why, issue x"
         }) {
-      assertTrue(judged(bad, false).startsWith("1 known-red: not of the form"), bad);
+      assertTrue(run(bad, false).startsWith("1 known-red: not of the form"), bad);
     }
   }
 }
--- a/src/test/java/pathgw/RunScriptTest.java
+++ b/src/test/java/pathgw/RunScriptTest.java
@@ -11,11 +11,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The script that starts a proxy, where there is nothing to start but java. */
+/** The script that starts a proxy, with a fake java that prints its arguments. */
 class RunScriptTest {
   @TempDir Path folder;
 
-  private String started(String config) throws IOException, InterruptedException {
+  private String outputOfRun(String config) throws IOException, InterruptedException {
     Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
     assertTrue(java.toFile().setExecutable(true));
     Path file = folder.resolve("config.json");
@@ -23,37 +23,38 @@
       Files.writeString(file, config);
     }
     Path out = folder.resolve("out");
-    ProcessBuilder scenario =
+    ProcessBuilder script =
         new ProcessBuilder("/bin/sh", "deploy/run.sh")
             .redirectErrorStream(true)
             .redirectOutput(out.toFile());
-    scenario.environment().clear();
-    scenario.environment().put("PATH", folder.toString());
-    scenario.environment().put("NODE_CONFIG", file.toString());
-    Process process = scenario.start();
+    script.environment().clear();
+    script.environment().put("PATH", folder.toString());
+    script.environment().put("NODE_CONFIG", file.toString());
+    Process process = script.start();
     assertTrue(process.waitFor(20, TimeUnit.SECONDS));
     assertEquals(0, process.exitValue());
     return Files.readString(out, StandardCharsets.UTF_8);
   }
 
   private void assertHeap(int mb, String config) throws IOException, InterruptedException {
-    String said = started(config);
-    assertTrue(said.startsWith("-Xms" + mb + "m -Xmx" + mb + "m "), said);
+    String output = outputOfRun(config);
+    assertTrue(output.startsWith("-Xms" + mb + "m -Xmx" + mb + "m "), output);
   }
 
   @Test
-  void theHeapComesFromTheMemoryThatTheConfigurationAllows() throws Exception {
+  void heapSizeFollowsConfiguredMemory() throws Exception {
     assertHeap(16, "{\"limits\":{\"cores\":1.0,\"memory_mb\":32,\"sockets\":4096},\"seed\":\"1\"}");
     assertHeap(18, "{\"seed\":\"1\",\"limits\":{\"sockets\":4096,\"memory_mb\":96}}");
     assertHeap(64, "{\n  \"limits\": {\n    \"sockets\": 4096,\n    \"memory_mb\" : 192\n  }\n}\n");
   }
 
   @Test
-  void whatCannotBeReadIsSaidLoudly() throws Exception {
-    String loudly = "run.sh: no usable limits.memory_mb in NODE_CONFIG '";
-    assertTrue(started(null).startsWith(loudly));
-    assertTrue(started("{\"limits\":{\"memory_mb\":\"much\",\"sockets\":512}}").startsWith(loudly));
-    assertTrue(started("{\"limits\":{\"memory_mb\":99999999999}}").contains("-Xmx34m "));
-    assertTrue(started("{}").startsWith(loudly));
+  void unusableMemoryLimitIsReported() throws Exception {
+    String complaint = "run.sh: no usable limits.memory_mb in NODE_CONFIG '";
+    assertTrue(outputOfRun(null).startsWith(complaint));
+    assertTrue(
+        outputOfRun("{\"limits\":{\"memory_mb\":\"much\",\"sockets\":512}}").startsWith(complaint));
+    assertTrue(outputOfRun("{\"limits\":{\"memory_mb\":99999999999}}").contains("-Xmx34m "));
+    assertTrue(outputOfRun("{}").startsWith(complaint));
   }
 }
--- a/src/test/java/pathgw/server/DecisionCostBenchmark.java
+++ b/src/test/java/pathgw/server/DecisionCostBenchmark.java
@@ -23,29 +23,29 @@
 import pathgw.upstream.UpstreamPools;
 
 /**
- * What a request and a whole list cost, by the number of nodes. No test: it prints what
- * docs/results.md says, under the flags that proxies run with ({@code -XX:TieredStopAtLevel=1
- * -XX:+UseSerialGC -Xmx34m}).
+ * Measures the CPU time of a request and of a complete endpoint list, by the number of nodes. Not a
+ * test: it prints the figures of docs/results.md, under the flags that proxies run with ({@code
+ * -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx34m}).
  */
 final class DecisionCostBenchmark {
   private static final Config CONFIG =
       Config.read(TestConfig.json().getBytes(StandardCharsets.UTF_8));
   private static final int REQUESTS = 3000;
-  private static final int LISTS = 40;
+  private static final int LIST_REPETITIONS = 40;
 
   private DecisionCostBenchmark() {}
 
   public static void main(String[] args) {
     for (int nodes : new int[] {12, 300, 1024}) {
-      String list = list(nodes);
-      lists(nodes, list);
+      String list = endpointList(nodes);
+      measureLists(nodes, list);
       for (int round = 0; round < 3; round++) {
-        requests(nodes, list);
+        measureRequests(nodes, list);
       }
     }
   }
 
-  private static String list(int nodes) {
+  private static String endpointList(int nodes) {
     return "{\n  \"seq\": 5,\n  \"whole\": true,\n  \"hosts\": ["
         + IntStream.range(0, nodes)
             .mapToObj(
@@ -76,8 +76,8 @@
         what -> {});
   }
 
-  private static void lists(int nodes, String text) {
-    EventLoopTimers timers = new EventLoopTimers(System::nanoTime, 0, (span, what) -> () -> {});
+  private static void measureLists(int nodes, String text) {
+    EventLoopTimers timers = new EventLoopTimers(System::nanoTime, 0, (delay, task) -> () -> {});
     DecisionDriver driver = new DecisionDriver(timers, new DecisionEngine(CONFIG.settings(), 1));
     UpstreamPools pools =
         new UpstreamPools(
@@ -87,29 +87,29 @@
             CONFIG,
             100);
     Discovery discovery = discovery(timers, driver, pools);
-    for (int time = 1; time <= LISTS; time++) {
-      long began = System.nanoTime();
-      List<Buffer> whole = new ArrayList<>();
-      JsonObjectReader lines =
-          new JsonObjectReader(EndpointListCall.LONGEST_BODY, whole::add, () -> {});
-      text.lines().forEach(line -> lines.take(Buffer.buffer(line)));
-      discovery.take(Json.read(whole.get(0).getBytes(), "list"), false);
-      if (time == 1 || time == LISTS) {
+    for (int repetition = 1; repetition <= LIST_REPETITIONS; repetition++) {
+      long startNanos = System.nanoTime();
+      List<Buffer> objects = new ArrayList<>();
+      JsonObjectReader reader =
+          new JsonObjectReader(EndpointListCall.LONGEST_BODY, objects::add, () -> {});
+      text.lines().forEach(line -> reader.take(Buffer.buffer(line)));
+      discovery.take(Json.read(objects.get(0).getBytes(), "list"), false);
+      if (repetition == 1 || repetition == LIST_REPETITIONS) {
         System.out.printf(
             Locale.ROOT,
-            "%d nodes, list of %d bytes, time %d: %.1f ms%n",
+            "%d nodes, list of %d bytes, repetition %d: %.1f ms%n",
             nodes,
             text.length(),
-            time,
-            (System.nanoTime() - began) / 1e6);
+            repetition,
+            (System.nanoTime() - startNanos) / 1e6);
       }
     }
   }
 
-  /** Each answered at once by the node that it goes to. */
-  private static void requests(int nodes, String text) {
-    long[] now = {0};
-    EventLoopTimers timers = new EventLoopTimers(() -> now[0], 0, (span, what) -> () -> {});
+  /** Each request is answered at once by the node that it is forwarded to. */
+  private static void measureRequests(int nodes, String text) {
+    long[] nowNanos = {0};
+    EventLoopTimers timers = new EventLoopTimers(() -> nowNanos[0], 0, (delay, task) -> () -> {});
     DecisionDriver driver = new DecisionDriver(timers, new DecisionEngine(CONFIG.settings(), 1));
     UpstreamPools pools =
         new UpstreamPools(
@@ -120,17 +120,17 @@
             100);
     discovery(timers, driver, pools)
         .take(Json.read(text.getBytes(StandardCharsets.UTF_8), "list"), false);
-    long began = System.nanoTime();
+    long startNanos = System.nanoTime();
     for (int i = 0; i < REQUESTS; i++) {
-      now[0] += 20_000_000;
+      nowNanos[0] += 20_000_000;
       int key = i * 7919 % 5000 + 1;
-      boolean[] over = {false};
+      boolean[] attempted = {false};
       long id =
           driver.open(
               new DecisionDriver.RequestActions() {
                 @Override
                 public void attempt(Duration patience, Duration sendWithin, long node) {
-                  over[0] = true;
+                  attempted[0] = true;
                 }
 
                 @Override
@@ -142,18 +142,20 @@
                 @Override
                 public void fail() {}
               });
-      Duration due = timers.now().plusMillis(900);
-      driver.submit(m -> m.requestArrived(id, 0, 0, key, due, Duration.ZERO, false, false));
-      if (over[0]) {
+      Duration deadline = timers.now().plusMillis(900);
+      driver.submit(
+          engine -> engine.requestArrived(id, 0, 0, key, deadline, Duration.ZERO, false, false));
+      if (attempted[0]) {
         driver.submit(
-            m -> m.attemptEnded(id, 0, AttemptOutcome.SERVED, Duration.ofMillis(5), true));
+            engine ->
+                engine.attemptEnded(id, 0, AttemptOutcome.SERVED, Duration.ofMillis(5), true));
       }
       driver.close(id);
     }
     System.out.printf(
         Locale.ROOT,
-        "%d nodes, an access with its outcome: %.0f us%n",
+        "%d nodes, a request with its outcome: %.0f us%n",
         nodes,
-        (System.nanoTime() - began) / 1e3 / REQUESTS);
+        (System.nanoTime() - startNanos) / 1e3 / REQUESTS);
   }
 }
--- a/src/test/java/pathgw/server/FleetSizeTest.java
+++ b/src/test/java/pathgw/server/FleetSizeTest.java
@@ -140,7 +140,7 @@
         new Discovery(this::dial, timers, driver, pools, config, new SnapshotFile(), what -> {});
     Gossip others = new Gossip(transport, driver, config);
     driver.reaches(discovery::watch, discovery::fetch, others::tell, pools::closeIdle);
-    discovery.take(config.known().get(), true);
+    discovery.take(config.initialEndpointList().get(), true);
     assertEquals(MANY, pools.startTimes().size());
 
     String list = list(2, "ready");
