--- a/src/test/java/pathgw/server/FleetSizeTest.java
+++ b/src/test/java/pathgw/server/FleetSizeTest.java
@@ -149,7 +149,7 @@
             gossip.broadcast(node, success);
           }
         });
-    discovery.apply(config.known().get(), EndpointListSource.CONFIGURATION);
+    discovery.apply(config.initialEndpointList().get(), EndpointListSource.CONFIGURATION);
     assertEquals(MANY, pools.startTimes().size());
 
     String list = list(2, "ready");
