--- a/src/test/java/pathgw/driver/DecisionDriverTest.java
+++ b/src/test/java/pathgw/driver/DecisionDriverTest.java
@@ -25,7 +25,7 @@
   void decisionsAreDeferredUntilALateEventLoopHasReadWhatArrived() {
     nodes("n1");
     timers.schedule(Duration.ofMillis(1), () -> {});
-    nanos += Duration.ofMillis(50).toNanos();
+    clock.skip(Duration.ofMillis(50));
     asks();
     assertEquals(0, attempts(), "the node's draining may lie unread");
     after(1);
