--- a/src/main/java/pathgw/client/ResponseQueue.java
+++ b/src/main/java/pathgw/client/ResponseQueue.java
@@ -120,10 +120,10 @@
     return lastWrite;
   }
 
-  /** The client has gone: nothing more is sent, and whoever works on a response is told. */
+  /** The client has gone: unsent bytes are dropped and the pending responses notified. */
   void clientGone() {
     unsent.clear();
-    // Telling one may complete others of this client, so the queue must not be iterated itself.
+    // Notifying one may complete others and change the queue, so a copy is iterated.
     List.copyOf(pending).forEach(PendingResponse::clientGone);
   }
 }
