--- a/src/main/java/pathgw/fake/BackendObserver.java
+++ b/src/main/java/pathgw/fake/BackendObserver.java
@@ -2,53 +2,63 @@
 
 import java.util.List;
 
-/** Hears what truly happened at the fakes, whatever the proxies believe. */
+/**
+ * Receives what truly happened at the fake servers and the fake discovery service, whatever the
+ * proxies believe.
+ */
 public interface BackendObserver {
-  /** One arrival of work, for the count of who pushed a node over. */
+  /**
+   * One arrival in the window in which a server was overloaded.
+   *
+   * @param atNanos since the start of the run
+   * @param from the proxy
+   * @param id of the request
+   */
   record Arrival(long atNanos, String from, String id) {}
 
   /**
-   * A request was taken on and runs, or will.
+   * A server has taken a request on: it runs, or will.
    *
-   * @param again it is a repeat that the memory of marked requests dropped
+   * @param repeated it does not run, because its idempotency key is known
    */
-  void ran(String place, Request request, boolean again);
+  void requestAccepted(String server, Request request, boolean repeated);
 
-  /** A request was refused unseen. */
-  void turnedAway(String place, Request request);
+  /** A server has rejected a request without running it. */
+  void requestRejected(String server, Request request);
 
   /**
    * A read found nothing.
    *
-   * @param cold the node had not warmed up
+   * @param cold whether the node is still warming up
    */
-  void missed(String place, Request request, boolean cold);
+  void cacheMissed(String server, Request request, boolean cold);
 
   /**
-   * An answer that may be served for this request and no other.
+   * A server has created a reply, which may be served for this request and no other.
    *
-   * @param answer a value or a receipt
+   * @param reply a value or a receipt
    */
-  void made(String place, Request request, String answer);
+  void replyCreated(String server, Request request, String reply);
 
   /**
-   * A cold node took a request.
+   * A node that warms up has received a request.
    *
-   * @param part of what pushes it over has come by now
+   * @param utilization recent arrivals as a share of those at which the node crashes
    */
-  void pressed(double part);
+  void coldNodeLoad(double utilization);
 
-  /** A cold node fell over under what arrived within the window. */
-  void pushedOver(String place, List<Arrival> work);
+  /** A node has crashed because it was overloaded while it warmed up. */
+  void coldNodeCrashed(String server, List<Arrival> arrivals);
 
-  /** The origin went down under what arrived within the window. */
-  void collapsed(List<Arrival> work);
+  /** The origin has gone down because it was overloaded. */
+  void originWentDown(List<Arrival> arrivals);
 
   /**
-   * A line of the endpoint list was written to a proxy.
+   * An endpoint of the list was sent to a proxy.
    *
-   * @param host empty after a whole list: whom it did not name is gone
+   * @param host empty at the end of a complete list: the hosts that it did not name are gone
    * @param health {@code ready}, {@code draining} or {@code gone}
+   * @param version of the list
    */
-  void told(String proxy, String host, String health, long version);
+  void endpointNotified(String proxy, String host, String health, long version);
 }
--- a/src/main/java/pathgw/fake/ClientConnector.java
+++ b/src/main/java/pathgw/fake/ClientConnector.java
@@ -2,13 +2,14 @@
 
 import java.util.function.Function;
 
-/** The way from clients to proxies. */
+/** Opens connections from clients to proxies. */
 public interface ClientConnector {
   /**
    * Opens a connection to a proxy.
    *
-   * @param up gives what the client makes of the connection; {@code refused} runs where none comes
-   *     up
+   * @param proxy index of the proxy
+   * @param onOpen creates the client's handler of the open connection
+   * @param onRefused called where the connection cannot be opened
    */
-  void open(int proxy, Function<ConnectionSide, ConnectionHandler> up, Runnable refused);
+  void open(int proxy, Function<ConnectionSide, ConnectionHandler> onOpen, Runnable onRefused);
 }
--- a/src/main/java/pathgw/fake/Clock.java
+++ b/src/main/java/pathgw/fake/Clock.java
@@ -2,10 +2,15 @@
 
 import java.time.Duration;
 
-/** Time as one fake has it; what it asked for does not happen once its process has gone. */
+/** The clock and the timers of one fake; its timers end with its process. */
 public interface Clock {
-  /** Since the start of the world. */
+  /** The time since the start of the run. */
   Duration now();
 
-  void in(Duration span, Runnable what);
+  /**
+   * Starts a timer.
+   *
+   * @param task runs once after the delay, unless the process has ended by then
+   */
+  void schedule(Duration delay, Runnable task);
 }
--- a/src/main/java/pathgw/fake/ConnectionHandler.java
+++ b/src/main/java/pathgw/fake/ConnectionHandler.java
@@ -2,11 +2,11 @@
 
 import io.vertx.core.buffer.Buffer;
 
-/** What a fake makes of one connection. */
+/** Receives the events of one connection of a fake. */
 public interface ConnectionHandler {
-  /** Bytes as they come, cut anywhere. */
-  void came(Buffer bytes);
+  /** Bytes have arrived; a message may be cut anywhere. */
+  void received(Buffer bytes);
 
   /** The connection has ended, whoever ended it. */
-  void over();
+  void ended();
 }
--- a/src/main/java/pathgw/fake/ConnectionSide.java
+++ b/src/main/java/pathgw/fake/ConnectionSide.java
@@ -2,18 +2,19 @@
 
 import io.vertx.core.buffer.Buffer;
 
-/** A fake's side of one connection. */
+/** A fake's side of one connection, on which it sends. */
 public interface ConnectionSide {
+  /** Sends bytes. */
   void write(Buffer bytes);
 
-  /** After what was written. */
+  /** Closes the connection after everything written has been sent. */
   void close();
 
-  /** At once: what is on its way is lost. */
+  /** Resets the connection at once; bytes in flight are lost. */
   void reset();
 
-  /** Whether the other side is known not to have read all that was written; sockets cannot tell. */
-  default boolean unread() {
+  /** Whether the peer is known not to have read everything written; false where unknown. */
+  default boolean peerHasUnreadBytes() {
     return false;
   }
 }
--- a/src/main/java/pathgw/fake/RecordCutter.java
+++ b/src/main/java/pathgw/fake/RecordCutter.java
@@ -1,17 +1,19 @@
 package pathgw.fake;
 
 import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
 
 /**
  * Cuts the bytes of a connection into records: lines that end with CRLF or LF, and blocks of a
  * known size.
  */
-final class RecordCutter {
+public final class RecordCutter {
   private static final int INITIAL_BYTES = 512;
   private static final int NO_BLOCK = -1;
 
   /** Receives one record as a range of a buffer that is valid during the call only. */
-  interface RecordConsumer {
+  public interface RecordConsumer {
+    /** Called once for each record. */
     void accept(byte[] bytes, int from, int to);
   }
 
@@ -30,18 +32,18 @@
    *
    * @param onLine receives each line without its end
    */
-  RecordCutter(RecordConsumer onLine) {
+  public RecordCutter(RecordConsumer onLine) {
     this.onLine = onLine;
   }
 
   /** The next record is a block of this size; lines follow after it. */
-  void expect(int size, RecordConsumer onBlock) {
+  public void expect(int size, RecordConsumer onBlock) {
     blockSize = size;
     this.onBlock = onBlock;
   }
 
   /** Adds bytes and delivers every record that is complete. */
-  void add(Buffer bytes) {
+  public void add(Buffer bytes) {
     if (to + bytes.length() > buffer.length) {
       makeRoom(bytes.length());
     }
@@ -52,6 +54,11 @@
     }
   }
 
+  /** The text of a record, each byte one character. */
+  public static String text(byte[] bytes, int from, int to) {
+    return new String(bytes, from, to - from, StandardCharsets.ISO_8859_1);
+  }
+
   private void makeRoom(int length) {
     int remaining = to - from;
     byte[] larger = new byte[Math.max(buffer.length, remaining + length)];
--- a/src/main/java/pathgw/fake/Request.java
+++ b/src/main/java/pathgw/fake/Request.java
@@ -1,24 +1,24 @@
 package pathgw.fake;
 
-import java.nio.charset.StandardCharsets;
-
 /**
- * One request as it came to a node or the origin.
+ * One request as a cache node or the origin received it.
  *
+ * @param id the proxy's id of the client's attempt
  * @param labels the list of names and values as it came, for example {@code c=read,t=one,d=480}
  */
 public record Request(boolean write, String key, String id, String labels) {
-  /** The value of a label, or the empty text. */
+  /** The value of a label; empty where the request does not carry it. */
   public String label(char name) {
-    int at = labels.startsWith(name + "=") ? 0 : labels.indexOf("," + name + "=") + 1;
-    if (at == 0 && !labels.startsWith(name + "=")) {
-      return "";
+    String prefix = name + "=";
+    if (labels.startsWith(prefix)) {
+      return valueAt(prefix.length());
     }
-    int to = labels.indexOf(',', at);
-    return labels.substring(at + 2, to < 0 ? labels.length() : to);
+    int separator = labels.indexOf("," + prefix);
+    return separator < 0 ? "" : valueAt(separator + 1 + prefix.length());
   }
 
-  static String text(byte[] bytes, int from, int to) {
-    return new String(bytes, from, to - from, StandardCharsets.ISO_8859_1);
+  private String valueAt(int start) {
+    int end = labels.indexOf(',', start);
+    return labels.substring(start, end < 0 ? labels.length() : end);
   }
 }
--- a/src/main/java/pathgw/fake/RequestReader.java
+++ b/src/main/java/pathgw/fake/RequestReader.java
@@ -54,12 +54,12 @@
   }
 
   /** Reads on; calls back for every request that is complete. */
-  public void take(Buffer bytes) {
+  public void read(Buffer bytes) {
     cutter.add(bytes);
   }
 
   private void metaLine(byte[] bytes, int from, int to) {
-    String[] words = Request.text(bytes, from, to).split(" ");
+    String[] words = RecordCutter.text(bytes, from, to).split(" ");
     write = words[0].equals("ms");
     if ((!write && !words[0].equals("mg")) || words.length < MIN_META_WORDS) {
       onUnreadable.run();
@@ -88,7 +88,7 @@
   }
 
   private void httpLine(byte[] bytes, int from, int to) {
-    String line = Request.text(bytes, from, to);
+    String line = RecordCutter.text(bytes, from, to);
     if (key == null) {
       httpRequestLine(line);
     } else if (line.startsWith(REQUEST_ID_HEADER)) {
--- a/src/main/java/pathgw/fake/ClientAttempt.java
+++ b/src/main/java/pathgw/fake/client/ClientAttempt.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import java.time.Duration;
 
@@ -7,20 +7,20 @@
  *
  * @param id new with every attempt
  * @param request what the client wants, the same with every attempt
- * @param at when this attempt was written to its connection
- * @param patience how long the client waits for this attempt
- * @param tries how many attempts came before
+ * @param sentAt when this attempt was written to its connection
+ * @param timeout how long the client waits for this attempt
+ * @param retries how many attempts came before
  * @param firstOnConnection whether the connection carried nothing before
  */
 public record ClientAttempt(
     String id,
     ClientRequest request,
-    Duration at,
-    Duration patience,
-    int tries,
+    Duration sentAt,
+    Duration timeout,
+    int retries,
     boolean firstOnConnection) {
   /** The class of the request. */
-  public FakeClients.RequestClass requestClass() {
+  public RequestClass requestClass() {
     return request.requestClass();
   }
 
@@ -30,7 +30,7 @@
   }
 
   /** When the client's wait for this attempt ends. */
-  public Duration due() {
-    return at.plus(patience);
+  public Duration deadline() {
+    return sentAt.plus(timeout);
   }
 }
--- a/src/main/java/pathgw/fake/ClientConnection.java
+++ b/src/main/java/pathgw/fake/client/ClientConnection.java
@@ -1,9 +1,13 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import pathgw.fake.Clock;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
+import pathgw.fake.RecordCutter;
 
 /** A client's connection to a proxy, with at most one attempt in flight. */
 final class ClientConnection implements ConnectionHandler {
@@ -19,7 +23,7 @@
   private final Clock clock;
   private final Random random;
   private final ClientObserver observer;
-  private final FakeClients.Habits behavior;
+  private final ClientBehavior behavior;
   private final List<String> tenants;
   private final FakeClients clients;
   private final ConnectionSide side;
@@ -33,7 +37,7 @@
       Clock clock,
       Random random,
       ClientObserver observer,
-      FakeClients.Habits behavior,
+      ClientBehavior behavior,
       List<String> tenants,
       FakeClients clients,
       ConnectionSide side,
@@ -58,18 +62,18 @@
     used = true;
     inFlight = attempt;
     side.write(Buffer.buffer(command(attempt)));
-    observer.asked(attempt, proxy);
-    if (random.nextDouble() < behavior.leaves) {
+    observer.attemptSent(attempt, proxy);
+    if (random.nextDouble() < behavior.abandonedShare) {
       Duration abandonAfter = Duration.ofNanos((long) (timeout.toNanos() * random.nextDouble()));
-      clock.in(abandonAfter, () -> abandon(attempt));
+      clock.schedule(abandonAfter, () -> abandon(attempt));
     }
-    clock.in(timeout.plus(LATE_ANSWER_WAIT), () -> giveUp(attempt));
+    clock.schedule(timeout.plus(LATE_ANSWER_WAIT), () -> giveUp(attempt));
   }
 
   private String command(ClientAttempt attempt) {
     ClientRequest request = attempt.request();
     String labels = labels(attempt);
-    if (request.requestClass().effect() == FakeClients.Effect.IDEMPOTENT) {
+    if (request.requestClass().effect() == RequestClass.Effect.IDEMPOTENT) {
       return "mg " + request.key() + " v" + labels + "\r\n";
     }
     String line = "ms " + request.key() + " " + WRITTEN_VALUE.length() + labels + "\r\n";
@@ -86,15 +90,15 @@
         + ",t="
         + tenants.get(request.tenant())
         + ",d="
-        + attempt.patience().toMillis()
+        + attempt.timeout().toMillis()
         + (idempotencyKey.isEmpty() ? "" : ",k=" + idempotencyKey)
-        + (attempt.tries() > 0 ? ",r=1" : "");
+        + (attempt.retries() > 0 ? ",r=1" : "");
   }
 
   private void abandon(ClientAttempt attempt) {
     if (attempt.equals(inFlight)) {
       inFlight = null;
-      observer.left(attempt, proxy);
+      observer.attemptAbandoned(attempt, proxy);
       closeForGood();
     }
   }
@@ -102,7 +106,7 @@
   private void giveUp(ClientAttempt attempt) {
     if (attempt.equals(inFlight)) {
       inFlight = null;
-      observer.neverAnswered(attempt, proxy);
+      observer.attemptTimedOut(attempt, proxy);
       closeForGood();
     }
   }
@@ -113,12 +117,12 @@
   }
 
   @Override
-  public void came(Buffer bytes) {
+  public void received(Buffer bytes) {
     cutter.add(bytes);
   }
 
   private void line(byte[] bytes, int from, int to) {
-    String line = Request.text(bytes, from, to);
+    String line = RecordCutter.text(bytes, from, to);
     if (!line.startsWith(VALUE_LINE)) {
       answered(line);
       return;
@@ -127,7 +131,8 @@
     int length = size.matches("\\d{1,7}") ? Integer.parseInt(size) : 0;
     cutter.expect(
         length + CRLF_BYTES,
-        (value, start, end) -> answered(line + " " + Request.text(value, start, end - CRLF_BYTES)));
+        (value, start, end) ->
+            answered(line + " " + RecordCutter.text(value, start, end - CRLF_BYTES)));
   }
 
   private void answered(String answer) {
@@ -146,7 +151,7 @@
   }
 
   private void keepOrClose() {
-    if (random.nextDouble() < behavior.stay) {
+    if (random.nextDouble() < behavior.keptOpenShare) {
       ended = true; // Open on the wire, never used again.
     } else if (ended || !clients.keepIdle(this, proxy)) {
       closeForGood();
@@ -164,7 +169,7 @@
   }
 
   @Override
-  public void over() {
+  public void ended() {
     ended = true;
     clients.removeIdle(this, proxy);
     if (inFlight == null) {
@@ -172,7 +177,7 @@
     }
     ClientAttempt attempt = inFlight;
     inFlight = null;
-    observer.cutOff(attempt, proxy, !side.unread());
+    observer.connectionLost(attempt, proxy, !side.peerHasUnreadBytes());
     // The proxy died, or closed an idle connection just as the command was sent.
     if (attempt.request().mayBeRetried()) {
       clients.retry(attempt, Duration.ZERO);
--- a/src/main/java/pathgw/fake/ClientRequest.java
+++ b/src/main/java/pathgw/fake/client/ClientRequest.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import java.time.Duration;
 
@@ -10,7 +10,7 @@
  * @param firstSentAt when the client first wanted it, from which its deadline counts
  */
 public record ClientRequest(
-    FakeClients.RequestClass requestClass,
+    RequestClass requestClass,
     int tenant,
     String key,
     String idempotencyKey,
@@ -19,7 +19,7 @@
   boolean mayBeRetried() {
     return switch (requestClass.effect()) {
       case IDEMPOTENT -> true;
-      case IDEMPOTENCY_KEYED -> requestClass.repeats();
+      case IDEMPOTENCY_KEYED -> requestClass.retriedAfterAnyFailure();
       case AT_MOST_ONCE -> false;
     };
   }
--- a/src/main/java/pathgw/fake/FakeClients.java
+++ b/src/main/java/pathgw/fake/client/FakeClients.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -6,6 +6,9 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
+import pathgw.fake.ClientConnector;
+import pathgw.fake.Clock;
+import pathgw.fake.ConnectionSide;
 
 /**
  * The clients of all proxies behind one load balancer. They send requests at random times, keep
@@ -13,55 +16,6 @@
  * commands.
  */
 public final class FakeClients {
-  /** How far a request may be repeated. */
-  public enum Effect {
-    /** Any number of times. */
-    IDEMPOTENT,
-
-    /** Any number of times with the same idempotency key, while the servers remember the key. */
-    IDEMPOTENCY_KEYED,
-
-    /** Only where the first attempt is known not to have run. */
-    AT_MOST_ONCE
-  }
-
-  /**
-   * One class of requests.
-   *
-   * @param repeats whether clients retry an idempotency-keyed request after any failure
-   * @param deadline how long a client wants the result, over all its attempts
-   * @param patience how long a client waits for one attempt
-   * @param part share of all requests, 0 to 1
-   */
-  public record RequestClass(
-      String name,
-      Effect effect,
-      boolean repeats,
-      Duration deadline,
-      Duration patience,
-      double part) {}
-
-  /** What clients do at present; may be changed at any time. */
-  public static final class Habits {
-    /** Requests a second. */
-    public double rate;
-
-    /** The share of requests for one single key. */
-    public double hot;
-
-    /** The first tenant's traffic, as a multiple of any other tenant's. */
-    public double greed = 1;
-
-    /** The share of attempts that the client abandons before it has an answer. */
-    public double leaves;
-
-    /** The share of attempts after which the client keeps its connection open, unused. */
-    public double stay;
-
-    /** Clients a second that send a malformed command. */
-    public double rude;
-  }
-
   /** Arrivals never cease entirely: the next one looks at the behaviour again. */
   private static final double MIN_REQUESTS_PER_SECOND = 0.1;
 
@@ -81,7 +35,7 @@
   private final ClientConnector connector;
   private final ClientObserver observer;
   private final List<String> tenants;
-  private final Habits behavior = new Habits();
+  private final ClientBehavior behavior = new ClientBehavior();
   private final LoadBalancer loadBalancer;
   private final RequestGenerator requestGenerator;
   private final PoissonProcess requestArrivals;
@@ -94,7 +48,8 @@
    * Creates clients that have not started.
    *
    * @param random the source of all random choices
-   * @param uneven how unequal the proxies' traffic is: exponent of Zipf's law, 0 for round robin
+   * @param unevenness how unequal the proxies' traffic is: exponent of Zipf's law, 0 for round
+   *     robin
    * @param tenants names, as requests carry them
    * @param keys how many keys there are
    * @param skew exponent of Zipf's law for the keys' popularity
@@ -105,7 +60,7 @@
       ClientConnector connector,
       ClientObserver observer,
       int proxies,
-      double uneven,
+      double unevenness,
       List<RequestClass> requestClasses,
       List<String> tenants,
       int keys,
@@ -115,7 +70,7 @@
     this.connector = connector;
     this.observer = observer;
     this.tenants = tenants;
-    loadBalancer = new LoadBalancer(clock, random, proxies, uneven);
+    loadBalancer = new LoadBalancer(clock, random, proxies, unevenness);
     requestGenerator =
         new RequestGenerator(
             clock,
@@ -128,13 +83,13 @@
         new PoissonProcess(
             clock,
             random,
-            () -> Math.max(MIN_REQUESTS_PER_SECOND, behavior.rate),
+            () -> Math.max(MIN_REQUESTS_PER_SECOND, behavior.requestsPerSecond),
             () -> send(requestGenerator.next(), 0));
     malformedArrivals =
         new PoissonProcess(
             clock,
             random,
-            () -> Math.max(MIN_MALFORMED_PER_SECOND, behavior.rude),
+            () -> Math.max(MIN_MALFORMED_PER_SECOND, behavior.malformedPerSecond),
             this::sendMalformedInput);
     malformedRequestClass = requestClasses.get(0).name();
     for (int i = 0; i < proxies; i++) {
@@ -143,7 +98,7 @@
   }
 
   /** What the clients do at present, for the caller to change. */
-  public Habits habits() {
+  public ClientBehavior behavior() {
     return behavior;
   }
 
@@ -163,20 +118,20 @@
   }
 
   /** A proxy accepts connections: the load balancer uses it from now on. */
-  public void serves(int proxy) {
+  public void proxyStarted(int proxy) {
     loadBalancer.add(proxy);
   }
 
   /** A proxy begins its graceful shutdown: after a moment the load balancer uses it no more. */
-  public void stops(int proxy) {
+  public void proxyDraining(int proxy) {
     loadBalancer.drain(proxy);
   }
 
   /** Sends one attempt, on an idle connection where there is one. */
   private void send(ClientRequest request, int retries) {
     Duration remaining = request.remaining(clock.now());
-    Duration patience = request.requestClass().patience();
-    Duration timeout = remaining.compareTo(patience) < 0 ? remaining : patience;
+    Duration attemptTimeout = request.requestClass().attemptTimeout();
+    Duration timeout = remaining.compareTo(attemptTimeout) < 0 ? remaining : attemptTimeout;
     if (stopped || retries >= MAX_ATTEMPTS || timeout.toMillis() < MIN_ATTEMPT_TIMEOUT_MS) {
       return;
     }
@@ -204,11 +159,11 @@
     loadBalancer.connectionRefused(proxy);
     Duration pause =
         Duration.ofMillis(MIN_CONNECT_RETRY_MS + random.nextInt(CONNECT_RETRY_RANGE_MS));
-    clock.in(pause, () -> send(request, retries + 1));
+    clock.schedule(pause, () -> send(request, retries + 1));
   }
 
   private void sendMalformedInput() {
-    if (behavior.rude <= 0) {
+    if (behavior.malformedPerSecond <= 0) {
       return;
     }
     int proxy = random.nextInt(idleConnections.size());
@@ -220,9 +175,9 @@
 
   /** Sends the next attempt of a request after a pause with some jitter. */
   void retry(ClientAttempt attempt, Duration pause) {
-    clock.in(
+    clock.schedule(
         pause.plusMillis(1 + random.nextInt(RETRY_JITTER_MS)),
-        () -> send(attempt.request(), attempt.tries() + 1));
+        () -> send(attempt.request(), attempt.retries() + 1));
   }
 
   /**
--- a/src/main/java/pathgw/fake/LoadBalancer.java
+++ b/src/main/java/pathgw/fake/client/LoadBalancer.java
@@ -1,8 +1,9 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Random;
+import pathgw.fake.Clock;
 
 /**
  * Distributes client connections over the proxies. It learns late that a proxy has gone: it goes on
@@ -54,7 +55,7 @@
   /** Takes a proxy that shuts down out of rotation, after a moment. */
   void drain(int proxy) {
     Duration delay = Duration.ofMillis(MIN_DRAIN_DELAY_MS + random.nextInt(DRAIN_DELAY_RANGE_MS));
-    clock.in(delay, () -> inRotation[proxy] = false);
+    clock.schedule(delay, () -> inRotation[proxy] = false);
   }
 
   /** Notes a refused connection; without a new start the proxy leaves the rotation later. */
@@ -66,7 +67,7 @@
         Duration.ofMillis(MIN_REMOVAL_DELAY_MS + random.nextInt(REMOVAL_DELAY_RANGE_MS));
     Duration planned = clock.now().plus(delay);
     removalAt[proxy] = planned;
-    clock.in(
+    clock.schedule(
         delay,
         () -> {
           if (planned.equals(removalAt[proxy])) {
--- a/src/main/java/pathgw/fake/MalformedClient.java
+++ b/src/main/java/pathgw/fake/client/MalformedClient.java
@@ -1,9 +1,13 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import pathgw.fake.Clock;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
+import pathgw.fake.RecordCutter;
 
 /** A client that sends one malformed command and waits for an error line or the close. */
 final class MalformedClient implements ConnectionHandler {
@@ -44,21 +48,21 @@
       side.close();
       ended = true;
     } else {
-      clock.in(LONGEST_WAIT, () -> end(null, ""));
+      clock.schedule(LONGEST_WAIT, () -> end(null, ""));
     }
   }
 
   @Override
-  public void came(Buffer bytes) {
+  public void received(Buffer bytes) {
     cutter.add(bytes);
   }
 
   private void line(byte[] bytes, int from, int to) {
-    end(clock.now().minus(openedAt), Request.text(bytes, from, to));
+    end(clock.now().minus(openedAt), RecordCutter.text(bytes, from, to));
   }
 
   @Override
-  public void over() {
+  public void ended() {
     end(clock.now().minus(openedAt), "");
   }
 
@@ -70,7 +74,7 @@
   private void end(Duration took, String answer) {
     if (!ended) {
       ended = true;
-      observer.rude(proxy, "form " + form, took, answer);
+      observer.malformedInputEnded(proxy, "form " + form, took, answer);
       side.close();
     }
   }
--- a/src/main/java/pathgw/fake/MalformedInput.java
+++ b/src/main/java/pathgw/fake/client/MalformedInput.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 /** The malformed commands that a client may send, numbered in the order of their declaration. */
 enum MalformedInput {
--- a/src/main/java/pathgw/fake/PoissonProcess.java
+++ b/src/main/java/pathgw/fake/client/PoissonProcess.java
@@ -1,8 +1,9 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import java.time.Duration;
 import java.util.Random;
 import java.util.function.DoubleSupplier;
+import pathgw.fake.Clock;
 
 /** Runs a task at random times that do not depend on each other, at a rate that may change. */
 final class PoissonProcess {
@@ -35,7 +36,7 @@
   }
 
   private void scheduleNext() {
-    clock.in(
+    clock.schedule(
         drawPause(),
         () -> {
           if (!stopped) {
--- a/src/main/java/pathgw/fake/RandomIds.java
+++ b/src/main/java/pathgw/fake/client/RandomIds.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import java.util.Random;
 
--- a/src/main/java/pathgw/fake/RequestGenerator.java
+++ b/src/main/java/pathgw/fake/client/RequestGenerator.java
@@ -1,7 +1,8 @@
-package pathgw.fake;
+package pathgw.fake.client;
 
 import java.util.List;
 import java.util.Random;
+import pathgw.fake.Clock;
 
 /** Draws the clients' requests: request class, tenant and key. */
 final class RequestGenerator {
@@ -9,8 +10,8 @@
 
   private final Clock clock;
   private final Random random;
-  private final FakeClients.Habits behavior;
-  private final List<FakeClients.RequestClass> requestClasses;
+  private final ClientBehavior behavior;
+  private final List<RequestClass> requestClasses;
   private final int tenants;
   private final ZipfDistribution keys;
 
@@ -23,8 +24,8 @@
   RequestGenerator(
       Clock clock,
       Random random,
-      FakeClients.Habits behavior,
-      List<FakeClients.RequestClass> requestClasses,
+      ClientBehavior behavior,
+      List<RequestClass> requestClasses,
       int tenants,
       ZipfDistribution keys) {
     this.clock = clock;
@@ -37,32 +38,32 @@
 
   /** Draws the next request; the order of the draws is part of what a seed stands for. */
   ClientRequest next() {
-    FakeClients.RequestClass requestClass = drawRequestClass();
+    RequestClass requestClass = drawRequestClass();
     int tenant = drawTenant();
-    boolean keyed = requestClass.effect() == FakeClients.Effect.IDEMPOTENCY_KEYED;
+    boolean keyed = requestClass.effect() == RequestClass.Effect.IDEMPOTENCY_KEYED;
     String idempotencyKey = keyed ? RandomIds.next(random) : "";
     return new ClientRequest(requestClass, tenant, drawKey(), idempotencyKey, clock.now());
   }
 
-  private FakeClients.RequestClass drawRequestClass() {
+  private RequestClass drawRequestClass() {
     double point = random.nextDouble();
     int index = 0;
-    while (index < requestClasses.size() - 1 && point >= requestClasses.get(index).part()) {
-      point -= requestClasses.get(index).part();
+    while (index < requestClasses.size() - 1 && point >= requestClasses.get(index).share()) {
+      point -= requestClasses.get(index).share();
       index++;
     }
     return requestClasses.get(index);
   }
 
-  /** Every tenant has the weight 1, but the first the weight {@code greed}. */
+  /** Every tenant has the weight 1, but the first the weight {@code firstTenantWeight}. */
   private int drawTenant() {
-    double weights = tenants - 1 + behavior.greed;
-    double point = random.nextDouble() * weights - behavior.greed;
+    double weights = tenants - 1 + behavior.firstTenantWeight;
+    double point = random.nextDouble() * weights - behavior.firstTenantWeight;
     return point < 0 ? 0 : Math.min(tenants - 1, 1 + (int) point);
   }
 
   private String drawKey() {
-    if (random.nextDouble() < behavior.hot) {
+    if (random.nextDouble() < behavior.hotKeyShare) {
       return HOT_KEY;
     }
     return "k" + keys.next(random);
--- a/src/main/java/pathgw/fake/CallQueue.java
+++ b/src/main/java/pathgw/fake/discovery/CallQueue.java
@@ -1,6 +1,7 @@
-package pathgw.fake;
+package pathgw.fake.discovery;
 
 import java.time.Duration;
+import pathgw.fake.Clock;
 
 /** Processes calls one after another at a fixed rate. */
 final class CallQueue {
--- a/src/main/java/pathgw/fake/DiscoveryConnection.java
+++ b/src/main/java/pathgw/fake/discovery/DiscoveryConnection.java
@@ -1,9 +1,14 @@
-package pathgw.fake;
+package pathgw.fake.discovery;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import pathgw.fake.BackendObserver;
+import pathgw.fake.Clock;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
+import pathgw.fake.RecordCutter;
 
 /** One HTTP connection of a proxy to the discovery service; a watch once it has asked for one. */
 final class DiscoveryConnection implements ConnectionHandler {
@@ -65,16 +70,16 @@
 
   void close() {
     side.close();
-    over();
+    ended();
   }
 
   @Override
-  public void came(Buffer bytes) {
+  public void received(Buffer bytes) {
     cutter.add(bytes);
   }
 
   private void line(byte[] bytes, int start, int end) {
-    String line = Request.text(bytes, start, end);
+    String line = RecordCutter.text(bytes, start, end);
     if (line.startsWith("GET ")) {
       path = line.split(" ")[1];
     } else if (line.isEmpty() && path != null) {
@@ -90,7 +95,7 @@
       reject();
     } else {
       Duration delay = discovery.drawDelay().plusMillis(1).plus(wait);
-      clock.in(delay, () -> answer(requested));
+      clock.schedule(delay, () -> answer(requested));
     }
   }
 
@@ -113,7 +118,7 @@
   private void refuse() {
     if (random.nextBoolean()) {
       side.reset();
-      over();
+      ended();
     } else {
       reject();
     }
@@ -148,7 +153,7 @@
   }
 
   private void scheduleKeepAlive() {
-    clock.in(
+    clock.schedule(
         KEEP_ALIVE_INTERVAL,
         () -> {
           if (discovery.isOpen(this) && !silent) {
@@ -164,9 +169,9 @@
       return;
     }
     if (history.hasChangesSince(sentVersion)) {
-      List<FakeDiscovery.Entry> missed = history.changes(sentVersion, upTo);
+      List<EndpointEntry> missed = history.changes(sentVersion, upTo);
       chunk(EndpointHistory.changesJson(upTo, missed) + "\n");
-      missed.forEach(entry -> observer.told(from, entry.host(), entry.health(), upTo));
+      missed.forEach(entry -> observer.endpointNotified(from, entry.host(), entry.health(), upTo));
       sentVersion = upTo;
     } else {
       chunk(history.completeJson() + "\n");
@@ -177,8 +182,8 @@
 
   private void reportCompleteList() {
     long version = history.version();
-    history.entries().forEach(e -> observer.told(from, e.host(), e.health(), version));
-    observer.told(from, "", "", version);
+    history.entries().forEach(e -> observer.endpointNotified(from, e.host(), e.health(), version));
+    observer.endpointNotified(from, "", "", version);
   }
 
   private void chunk(String text) {
@@ -186,7 +191,7 @@
   }
 
   @Override
-  public void over() {
+  public void ended() {
     discovery.ended(this);
   }
 }
--- a/src/main/java/pathgw/fake/EndpointHistory.java
+++ b/src/main/java/pathgw/fake/discovery/EndpointHistory.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.discovery;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -13,16 +13,16 @@
   private static final int MAX_CHANGES = 16;
 
   /** One change of the list, which gave it this version. */
-  private record Change(long version, FakeDiscovery.Entry entry) {}
+  private record Change(long version, EndpointEntry entry) {}
 
-  private final Map<String, FakeDiscovery.Entry> entries = new LinkedHashMap<>();
+  private final Map<String, EndpointEntry> entries = new LinkedHashMap<>();
   private final List<Change> changes = new ArrayList<>();
   private long version = 1;
 
   /** Applies a change: an entry that is gone is removed. */
-  void apply(FakeDiscovery.Entry entry) {
+  void apply(EndpointEntry entry) {
     version++;
-    if (entry.health().equals(FakeDiscovery.GONE)) {
+    if (entry.health().equals(EndpointEntry.GONE)) {
       entries.remove(entry.host());
     } else {
       entries.put(entry.host(), entry);
@@ -37,14 +37,14 @@
     return version;
   }
 
-  Collection<FakeDiscovery.Entry> entries() {
+  Collection<EndpointEntry> entries() {
     return entries.values();
   }
 
   /** The health of a host; {@code gone} where the list does not name it. */
   String health(String host) {
-    FakeDiscovery.Entry entry = entries.get(host);
-    return entry == null ? FakeDiscovery.GONE : entry.health();
+    EndpointEntry entry = entries.get(host);
+    return entry == null ? EndpointEntry.GONE : entry.health();
   }
 
   /** Whether all changes since an earlier version are kept. */
@@ -56,7 +56,7 @@
   }
 
   /** The changes after one version up to another, oldest first. */
-  List<FakeDiscovery.Entry> changes(long after, long upTo) {
+  List<EndpointEntry> changes(long after, long upTo) {
     return changes.stream()
         .filter(change -> change.version() > after && change.version() <= upTo)
         .map(Change::entry)
@@ -69,14 +69,13 @@
   }
 
   /** Some changes as JSON. */
-  static String changesJson(long version, List<FakeDiscovery.Entry> changes) {
+  static String changesJson(long version, List<EndpointEntry> changes) {
     return json(version, false, changes);
   }
 
-  private static String json(
-      long version, boolean complete, Collection<FakeDiscovery.Entry> entries) {
+  private static String json(long version, boolean complete, Collection<EndpointEntry> entries) {
     return entries.stream()
-        .map(FakeDiscovery.Entry::json)
+        .map(EndpointEntry::json)
         .collect(
             Collectors.joining(
                 ",", "{\"seq\":" + version + ",\"whole\":" + complete + ",\"hosts\":[", "]}"));
--- a/src/main/java/pathgw/fake/FakeDiscovery.java
+++ b/src/main/java/pathgw/fake/discovery/FakeDiscovery.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.discovery;
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -7,6 +7,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import pathgw.fake.BackendObserver;
+import pathgw.fake.Clock;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
 
 /**
  * The discovery service: serves the endpoint list over HTTP to all proxies, complete or as a watch
@@ -14,41 +18,6 @@
  * silent.
  */
 public final class FakeDiscovery {
-  /** The health of an endpoint that is removed from the list. */
-  static final String GONE = "gone";
-
-  /**
-   * One endpoint of the list.
-   *
-   * @param host its name
-   * @param dial its address, as host and port
-   * @param site its zone
-   * @param kind its kind of machine
-   * @param block its cell
-   * @param health {@code ready}, {@code draining} or {@code gone}
-   * @param bornMs when it last started, in milliseconds of Unix time; 0 for long ago
-   */
-  public record Entry(
-      String host, String dial, String site, String kind, int block, String health, long bornMs) {
-    String json() {
-      return "{\"host\":\""
-          + host
-          + "\",\"dial\":\""
-          + dial
-          + "\",\"site\":\""
-          + site
-          + "\",\"class\":\""
-          + kind
-          + "\",\"block\":"
-          + block
-          + ",\"health\":\""
-          + health
-          + "\",\"share\":1.0,\"born_ms\":"
-          + bornMs
-          + "}";
-    }
-  }
-
   final Clock clock;
   final Random random;
   final BackendObserver observer;
@@ -69,35 +38,35 @@
   }
 
   /** Changes the list and sends the change to all watches. */
-  public void change(Entry entry) {
+  public void update(EndpointEntry entry) {
     history.apply(entry);
     // A delayed change is sent as of now: a complete list may have overtaken it by then.
     long version = history.version();
     for (DiscoveryConnection connection : List.copyOf(connections)) {
       if (connection.watching()) {
-        clock.in(drawDelay(), () -> connection.sendChanges(version));
+        clock.schedule(drawDelay(), () -> connection.sendChanges(version));
       }
     }
   }
 
-  /** Whether the list has a host in this state; a host that it does not name is gone. */
-  public boolean says(String host, String health) {
+  /** Whether the list has a host with this health; a host that it does not name is gone. */
+  public boolean hasHealth(String host, String health) {
     return history.health(host).equals(health);
   }
 
   /** The version of the list. */
-  public long seq() {
+  public long version() {
     return history.version();
   }
 
   /** The endpoints of the list in their order. */
-  public List<Entry> entries() {
+  public List<EndpointEntry> entries() {
     return List.copyOf(history.entries());
   }
 
   /** Sets the longest delay of an answer or a change. */
-  public void late(Duration late) {
-    maxDelay = late;
+  public void setMaxDelay(Duration maxDelay) {
+    this.maxDelay = maxDelay;
   }
 
   /** Draws the delay of an answer or a change. */
@@ -106,8 +75,8 @@
   }
 
   /** Sets the share of calls that are rejected or reset, 0 to 1. */
-  public void refuses(double share) {
-    refusedShare = share;
+  public void setRefusedShare(double refusedShare) {
+    this.refusedShare = refusedShare;
   }
 
   /** Draws whether a call is refused; draws nothing while none is. */
@@ -120,15 +89,15 @@
    *
    * @param callsPerSecond zero for no limit
    */
-  public void takes(double callsPerSecond) {
+  public void setCallsPerSecond(double callsPerSecond) {
     calls.limit(callsPerSecond);
   }
 
   /** Goes down, which ends all connections, or comes up again. */
-  public void down(boolean down) {
+  public void setDown(boolean down) {
     this.down = down;
     if (down) {
-      endWatches();
+      closeConnections();
     }
   }
 
@@ -146,7 +115,7 @@
    * Since when a proxy's watch has been silent without an answer to any later call of the proxy;
    * null where it is not.
    */
-  public Duration deafSince(String proxy) {
+  public Duration silentSince(String proxy) {
     return silentSince.get(proxy);
   }
 
@@ -156,12 +125,12 @@
   }
 
   /** Closes all connections. */
-  public void endWatches() {
+  public void closeConnections() {
     List.copyOf(connections).forEach(DiscoveryConnection::close);
   }
 
   /** The complete list as JSON. */
-  public String whole() {
+  public String completeListJson() {
     return history.completeJson();
   }
 
--- a/src/main/java/pathgw/fake/FakeCacheNode.java
+++ b/src/main/java/pathgw/fake/server/FakeCacheNode.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.server;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -6,6 +6,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
+import pathgw.fake.BackendObserver;
+import pathgw.fake.Clock;
+import pathgw.fake.Request;
+import pathgw.fake.RequestReader;
 
 /**
  * A cache node that speaks the meta protocol. It evicts the key used longest ago, starts with a
@@ -16,38 +20,38 @@
    * What a node can take.
    *
    * @param slots how many requests it works on at a time
-   * @param service the mean work of one request on a warm node
-   * @param queue how many requests may wait
-   * @param connections how many connections it accepts
-   * @param idle how long a connection may stand idle
-   * @param coldFrom the share of its capacity that it starts with
-   * @param coldFor how long it warms up, its capacity growing evenly
-   * @param tipMultiple a node that warms up crashes when it receives more than this multiple of its
-   *     capacity for {@code fallFor}
-   * @param keeps how many values it stores
+   * @param serviceTime the mean work of one request on a warm node
+   * @param queueLength how many requests may wait
+   * @param maxConnections how many connections it accepts
+   * @param idleTimeout how long a connection may stand idle
+   * @param coldCapacityShare the share of its capacity that it starts with
+   * @param warmUp how long it warms up, its capacity growing evenly
+   * @param crashMultiple a node that warms up crashes when it receives more than this multiple of
+   *     its capacity for {@code overloadWindow}
+   * @param maxValues how many values it stores
    * @param origin where it fetches what it lacks; null where it only stores
    */
-  public record Figures(
+  public record Parameters(
       int slots,
-      Duration service,
-      int queue,
-      int connections,
-      Duration idle,
-      double coldFrom,
-      Duration coldFor,
-      double tipMultiple,
-      Duration fallFor,
-      int keeps,
+      Duration serviceTime,
+      int queueLength,
+      int maxConnections,
+      Duration idleTimeout,
+      double coldCapacityShare,
+      Duration warmUp,
+      double crashMultiple,
+      Duration overloadWindow,
+      int maxValues,
       FakeOrigin origin) {
     private ServerLimits limits() {
-      return new ServerLimits(slots, service, queue, connections, idle);
+      return new ServerLimits(slots, serviceTime, queueLength, maxConnections, idleTimeout);
     }
   }
 
   private static final double OVERLOAD_SLACK_ROOTS = 2;
   private static final double OVERLOAD_SLACK_REQUESTS = 2;
 
-  private final Figures figures;
+  private final Parameters parameters;
   private final Duration coldSince;
   private final DedupMemory memory;
   private final OverloadWindow load;
@@ -68,17 +72,19 @@
       Random random,
       BackendObserver observer,
       FaultInjection faults,
-      Figures figures,
+      Parameters parameters,
       Duration coldSince,
       DedupMemory memory,
       Runnable crash) {
-    super(name, clock, random, observer, faults, figures.limits());
-    this.figures = figures;
+    super(name, clock, random, observer, faults, parameters.limits());
+    this.parameters = parameters;
     this.coldSince = coldSince;
     this.memory = memory;
     this.crash = crash;
-    load = new OverloadWindow(figures.fallFor(), OVERLOAD_SLACK_ROOTS, OVERLOAD_SLACK_REQUESTS);
-    storedVersions = new LeastRecentlyUsedMap(figures.keeps());
+    load =
+        new OverloadWindow(
+            parameters.overloadWindow(), OVERLOAD_SLACK_ROOTS, OVERLOAD_SLACK_REQUESTS);
+    storedVersions = new LeastRecentlyUsedMap(parameters.maxValues());
   }
 
   /** The versions stored under each key, without the keys used longest ago. */
@@ -101,18 +107,18 @@
   }
 
   /** Whether the node is still warming up. */
-  public boolean cold() {
-    return coldSince != null && clock.now().minus(coldSince).compareTo(figures.coldFor()) < 0;
+  public boolean isCold() {
+    return coldSince != null && clock.now().minus(coldSince).compareTo(parameters.warmUp()) < 0;
   }
 
   /** The share of its capacity that it has at present, 0 to 1. */
   private double warmth() {
-    if (!cold()) {
+    if (!isCold()) {
       return 1;
     }
-    double gained = 1 - figures.coldFrom();
+    double gained = 1 - parameters.coldCapacityShare();
     long elapsedNanos = clock.now().minus(coldSince).toNanos();
-    return figures.coldFrom() + gained * elapsedNanos / figures.coldFor().toNanos();
+    return parameters.coldCapacityShare() + gained * elapsedNanos / parameters.warmUp().toNanos();
   }
 
   /** Finishes the requests that it has and rejects all others. */
@@ -131,7 +137,7 @@
   }
 
   /** Removes the value of a key. */
-  public void drop(String key) {
+  public void remove(String key) {
     storedVersions.remove(key);
   }
 
@@ -142,7 +148,7 @@
 
   @Override
   double slowdown() {
-    return faults.slower / warmth();
+    return faults.slowdownFactor / warmth();
   }
 
   @Override
@@ -157,17 +163,17 @@
 
   @Override
   boolean survivesArrival(Request request, String from) {
-    if (!cold()) {
+    if (!isCold()) {
       return true;
     }
     load.add(clock.now(), from, request.id());
     double capacity = limits.requestsPerSecond() * warmth();
-    double limit = figures.tipMultiple() * capacity;
-    observer.pressed(load.utilization(limit));
+    double limit = parameters.crashMultiple() * capacity;
+    observer.coldNodeLoad(load.utilization(limit));
     if (!load.exceeds(limit)) {
       return true;
     }
-    observer.pushedOver(name, load.arrivals());
+    observer.coldNodeCrashed(name, load.arrivals());
     crash.run();
     return false;
   }
@@ -176,20 +182,20 @@
   void execute(Request request, PendingReply reply) {
     // Looked up also where the request then fails: the lookup counts as a use of the key.
     Integer version = storedVersions.get(request.key());
-    if (happens(faults.fails)) {
+    if (happens(faults.errorShare)) {
       reply.send(failure());
     } else if (request.write()) {
       writeThrough(request, reply);
     } else if (version != null) {
       sendValue(request, reply, version, true);
     } else {
-      observer.missed(name, request, cold());
+      observer.cacheMissed(name, request, isCold());
       miss(request, reply);
     }
   }
 
   private void writeThrough(Request request, PendingReply reply) {
-    figures
+    parameters
         .origin()
         .write(
             request,
@@ -203,11 +209,11 @@
   }
 
   private void miss(Request request, PendingReply reply) {
-    if (figures.origin() == null) {
+    if (parameters.origin() == null) {
       reply.send(Buffer.buffer("EN O" + request.id() + "\r\n"));
       return;
     }
-    figures
+    parameters
         .origin()
         .read(
             request,
@@ -223,8 +229,8 @@
   }
 
   private void sendValue(Request request, PendingReply reply, int version, boolean hit) {
-    String value = makeValue(request, version);
-    String flag = figures.origin() == null ? "" : hit ? " h1" : " h0";
+    String value = createValue(request, version);
+    String flag = parameters.origin() == null ? "" : hit ? " h1" : " h0";
     String line = "VA " + value.length() + " O" + request.id() + flag;
     reply.send(Buffer.buffer(line + "\r\n" + value + "\r\n"));
   }
--- a/src/main/java/pathgw/fake/FakeOrigin.java
+++ b/src/main/java/pathgw/fake/server/FakeOrigin.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.server;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -7,6 +7,10 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
+import pathgw.fake.BackendObserver;
+import pathgw.fake.Clock;
+import pathgw.fake.Request;
+import pathgw.fake.RequestReader;
 
 /**
  * The origin, which speaks HTTP. It has every key, can take far less than all requests, and goes
@@ -17,37 +21,37 @@
    * What the origin can take.
    *
    * @param slots how many requests it works on at a time
-   * @param service the mean work of one request
-   * @param queue how many requests may wait
-   * @param connections how many connections it accepts
-   * @param idle how long a connection may stand idle
-   * @param fallMultiple it goes down when it receives more reads than this multiple of its capacity
-   *     for {@code fallFor}; 0 for never
-   * @param downFor how long it stays down
-   * @param memory how long it remembers idempotency keys
+   * @param serviceTime the mean work of one request
+   * @param queueLength how many requests may wait
+   * @param maxConnections how many connections it accepts
+   * @param idleTimeout how long a connection may stand idle
+   * @param overloadMultiple it goes down when it receives more reads than this multiple of its
+   *     capacity for {@code overloadWindow}; 0 for never
+   * @param downTime how long it stays down
+   * @param keyRetention how long it remembers idempotency keys
    */
-  public record Figures(
+  public record Parameters(
       int slots,
-      Duration service,
-      int queue,
-      int connections,
-      Duration idle,
-      double fallMultiple,
-      Duration fallFor,
-      Duration downFor,
-      Duration memory) {
+      Duration serviceTime,
+      int queueLength,
+      int maxConnections,
+      Duration idleTimeout,
+      double overloadMultiple,
+      Duration overloadWindow,
+      Duration downTime,
+      Duration keyRetention) {
     private ServerLimits limits() {
-      return new ServerLimits(slots, service, queue, connections, idle);
+      return new ServerLimits(slots, serviceTime, queueLength, maxConnections, idleTimeout);
     }
   }
 
-  /** What the origin's results mean for the values stored at the cache nodes. */
-  public interface Copies {
+  /** Receives what the origin's results mean for the values stored at the cache nodes. */
+  public interface CacheListener {
     /** The origin answers a read that had missed. */
-    void fetched(Request request, int version);
+    void valueFetched(Request request, int version);
 
     /** A write has made all stored values of a key stale. */
-    void outdated(String key);
+    void valueOutdated(String key);
   }
 
   /** What the callback of a failed read receives in place of a version. */
@@ -62,14 +66,13 @@
 
   private static final int RECEIPT_RADIX = 36;
 
-  private final Figures figures;
-  private final Copies copies;
+  private final Parameters parameters;
+  private final CacheListener caches;
   private final DedupMemory memory;
   private final OverloadWindow load;
   private final Map<String, Integer> versions = new TreeMap<>();
   private Duration downUntil = Duration.ZERO;
   private long receipts;
-  private long fetches;
 
   /** Creates an origin in which every key has version 0. */
   public FakeOrigin(
@@ -78,22 +81,19 @@
       Random random,
       BackendObserver observer,
       FaultInjection faults,
-      Figures figures,
-      Copies copies) {
-    super(name, clock, random, observer, faults, figures.limits());
-    this.figures = figures;
-    this.copies = copies;
-    memory = new DedupMemory(figures.memory());
-    load = new OverloadWindow(figures.fallFor(), OVERLOAD_SLACK_ROOTS, OVERLOAD_SLACK_REQUESTS);
-  }
-
-  /** The number of reads that have arrived. */
-  public long fetches() {
-    return fetches;
+      Parameters parameters,
+      CacheListener caches) {
+    super(name, clock, random, observer, faults, parameters.limits());
+    this.parameters = parameters;
+    this.caches = caches;
+    memory = new DedupMemory(parameters.keyRetention());
+    load =
+        new OverloadWindow(
+            parameters.overloadWindow(), OVERLOAD_SLACK_ROOTS, OVERLOAD_SLACK_REQUESTS);
   }
 
   /** The number of writes to a key so far. */
-  public int version(String key) {
+  private int version(String key) {
     return versions.getOrDefault(key, 0);
   }
 
@@ -102,12 +102,11 @@
   }
 
   private void countRead(Request request, String from) {
-    fetches++;
     load.add(clock.now(), from, request.id());
-    double limit = figures.fallMultiple() * limits.requestsPerSecond();
-    if (figures.fallMultiple() > 0 && !down() && load.exceeds(limit)) {
-      observer.collapsed(load.arrivals());
-      downUntil = clock.now().plus(figures.downFor());
+    double limit = parameters.overloadMultiple() * limits.requestsPerSecond();
+    if (parameters.overloadMultiple() > 0 && !down() && load.exceeds(limit)) {
+      observer.originWentDown(load.arrivals());
+      downUntil = clock.now().plus(parameters.downTime());
     }
   }
 
@@ -119,7 +118,7 @@
   void read(Request request, String from, IntConsumer version) {
     countRead(request, from);
     if (down() || workers.full()) {
-      clock.in(FAILURE_DELAY, () -> version.accept(READ_FAILED));
+      clock.schedule(FAILURE_DELAY, () -> version.accept(READ_FAILED));
     } else {
       workers.submit(() -> version.accept(version(request.key())));
     }
@@ -132,7 +131,7 @@
    */
   void write(Request request, Consumer<String> receipt) {
     if (down() || workers.full()) {
-      clock.in(FAILURE_DELAY, () -> receipt.accept(null));
+      clock.schedule(FAILURE_DELAY, () -> receipt.accept(null));
     } else {
       workers.submit(() -> receipt.accept(applyWrite(request)));
     }
@@ -140,7 +139,7 @@
 
   private String applyWrite(Request request) {
     versions.merge(request.key(), 1, Integer::sum);
-    copies.outdated(request.key());
+    caches.valueOutdated(request.key());
     receipts++;
     return Long.toString(receipts, RECEIPT_RADIX) + "-" + name;
   }
@@ -152,7 +151,7 @@
 
   @Override
   double slowdown() {
-    return faults.slower;
+    return faults.slowdownFactor;
   }
 
   @Override
@@ -175,14 +174,14 @@
 
   @Override
   void execute(Request request, PendingReply reply) {
-    if (happens(faults.fails)) {
+    if (happens(faults.errorShare)) {
       reply.send(failure());
     } else if (request.write()) {
       completeWrite(request, reply, applyWrite(request));
     } else {
       int version = version(request.key());
-      copies.fetched(request, version);
-      sendOk(request, reply, makeValue(request, version));
+      caches.valueFetched(request, version);
+      sendOk(request, reply, createValue(request, version));
     }
   }
 
--- a/src/main/java/pathgw/fake/FakeServer.java
+++ b/src/main/java/pathgw/fake/server/FakeServer.java
@@ -1,10 +1,16 @@
-package pathgw.fake;
+package pathgw.fake.server;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
+import pathgw.fake.BackendObserver;
+import pathgw.fake.Clock;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
+import pathgw.fake.Request;
+import pathgw.fake.RequestReader;
 
 /**
  * What the fake cache node and the fake origin share: a bounded number of connections, a bounded
@@ -72,11 +78,6 @@
     return new ServerConnection(this, from, side);
   }
 
-  /** The number of open connections. */
-  public final int connections() {
-    return connections;
-  }
-
   final void connectionEnded() {
     connections--;
   }
@@ -147,7 +148,7 @@
 
   /** Rejects a request or takes it on. */
   final void handle(Request request, PendingReply reply) {
-    if (rejectsAll() || happens(faults.busy)) {
+    if (rejectsAll() || happens(faults.rejectedShare)) {
       reject(request, reply);
     } else if (survivesArrival(request, reply.from())) {
       // The arrival may have overloaded the server.
@@ -160,7 +161,7 @@
   }
 
   private void reject(Request request, PendingReply reply) {
-    observer.turnedAway(name, request);
+    observer.requestRejected(name, request);
     reply.send(rejection());
   }
 
@@ -173,7 +174,7 @@
             && memory()
                 .isRepeat(
                     idempotencyKey, clock.now(), receipt -> acknowledge(request, reply, receipt));
-    observer.ran(name, request, repeated);
+    observer.requestAccepted(name, request, repeated);
     if (!repeated) {
       workers.submit(() -> execute(request, reply));
     }
@@ -186,7 +187,7 @@
   }
 
   private void acknowledge(Request request, PendingReply reply, String receipt) {
-    observer.made(name, request, receipt);
+    observer.replyCreated(name, request, receipt);
     sendReceipt(request, reply, receipt);
   }
 
@@ -195,9 +196,9 @@
   }
 
   /** The value of a read: unlike any other request's, so that mixed-up replies are found. */
-  final String makeValue(Request request, int version) {
+  final String createValue(Request request, int version) {
     String value = "v" + version + ":" + request.key() + ":" + request.id() + ":" + name;
-    observer.made(name, request, value);
+    observer.replyCreated(name, request, value);
     return value;
   }
 }
--- a/src/main/java/pathgw/fake/OverloadWindow.java
+++ b/src/main/java/pathgw/fake/server/OverloadWindow.java
@@ -1,8 +1,9 @@
-package pathgw.fake;
+package pathgw.fake.server;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.List;
+import pathgw.fake.BackendObserver;
 
 /**
  * The arrivals of a sliding window, compared with a limit. The limit is raised by some slack, so
--- a/src/main/java/pathgw/fake/PendingReply.java
+++ b/src/main/java/pathgw/fake/server/PendingReply.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.server;
 
 import io.vertx.core.buffer.Buffer;
 
--- a/src/main/java/pathgw/fake/ServerConnection.java
+++ b/src/main/java/pathgw/fake/server/ServerConnection.java
@@ -1,9 +1,14 @@
-package pathgw.fake;
+package pathgw.fake.server;
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Random;
+import pathgw.fake.Clock;
+import pathgw.fake.ConnectionHandler;
+import pathgw.fake.ConnectionSide;
+import pathgw.fake.Request;
+import pathgw.fake.RequestReader;
 
 /**
  * One connection of a proxy to a fake server. Replies are sent in the order of the requests. The
@@ -60,24 +65,24 @@
     if (pending.isEmpty() && expired) {
       close();
     } else {
-      clock.in(expired ? idleTimeout : remaining, this::closeIfIdle);
+      clock.schedule(expired ? idleTimeout : remaining, this::closeIfIdle);
     }
   }
 
   private void close() {
     side.close();
-    over();
+    ended();
   }
 
   private void reset() {
     side.reset();
-    over();
+    ended();
   }
 
   @Override
-  public void came(Buffer bytes) {
+  public void received(Buffer bytes) {
     if (!ended) {
-      requests.take(bytes);
+      requests.read(bytes);
     }
   }
 
@@ -87,12 +92,12 @@
 
   private void request(Request request) {
     usedAt = clock.now();
-    if (server.happens(faults.closes)) {
-      server.observer.turnedAway(server.name, request);
+    if (server.happens(faults.closedShare)) {
+      server.observer.requestRejected(server.name, request);
       close();
       return;
     }
-    boolean resets = server.happens(faults.resets);
+    boolean resets = server.happens(faults.resetShare);
     if (resets && random.nextBoolean()) {
       reset();
       return;
@@ -101,7 +106,7 @@
     pending.add(reply);
     server.handle(request, reply);
     if (resets) {
-      clock.in(Duration.ofMillis(random.nextInt(MAX_RESET_DELAY_MS)), this::reset);
+      clock.schedule(Duration.ofMillis(random.nextInt(MAX_RESET_DELAY_MS)), this::reset);
     }
   }
 
@@ -119,9 +124,9 @@
   }
 
   private void send(Buffer reply) {
-    if (server.happens(faults.spoils)) {
+    if (server.happens(faults.corruptReplyShare)) {
       side.write(server.corrupt(reply));
-    } else if (server.happens(faults.extra) && pending.isEmpty()) {
+    } else if (server.happens(faults.extraBytesShare) && pending.isEmpty()) {
       side.write(reply.copy().appendBuffer(random.nextBoolean() ? reply : EXTRA_BYTES));
     } else {
       side.write(reply);
@@ -129,18 +134,18 @@
   }
 
   private void sendAndEnd(Buffer reply) {
-    if (server.happens(faults.resets)) {
+    if (server.happens(faults.resetShare)) {
       side.write(reply.slice(0, reply.length() - CUT_BYTES));
-      clock.in(RESET_AFTER_CUT_REPLY, side::reset);
+      clock.schedule(RESET_AFTER_CUT_REPLY, side::reset);
     } else {
       side.write(reply);
       side.close();
     }
-    over();
+    ended();
   }
 
   @Override
-  public void over() {
+  public void ended() {
     if (!ended) {
       ended = true;
       server.connectionEnded();
--- a/src/main/java/pathgw/fake/ServerLimits.java
+++ b/src/main/java/pathgw/fake/server/ServerLimits.java
@@ -1,4 +1,4 @@
-package pathgw.fake;
+package pathgw.fake.server;
 
 import java.time.Duration;
 
--- a/src/main/java/pathgw/fake/WorkerQueue.java
+++ b/src/main/java/pathgw/fake/server/WorkerQueue.java
@@ -1,9 +1,10 @@
-package pathgw.fake;
+package pathgw.fake.server;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Random;
 import java.util.function.DoubleSupplier;
+import pathgw.fake.Clock;
 
 /** The workers of a fake server and the bounded queue before them. */
 final class WorkerQueue {
@@ -46,7 +47,7 @@
 
   private void begin(Runnable onDone) {
     busyWorkers++;
-    clock.in(drawServiceTime(), () -> end(onDone));
+    clock.schedule(drawServiceTime(), () -> end(onDone));
   }
 
   private void end(Runnable onDone) {
--- a/src/main/java/pathgw/simulation/ForwardingObserver.java
+++ b/src/main/java/pathgw/simulation/ForwardingObserver.java
@@ -13,42 +13,42 @@
   }
 
   @Override
-  public void ran(String place, Request request, boolean again) {
-    to.ran(place, request, again);
+  public void requestAccepted(String place, Request request, boolean again) {
+    to.requestAccepted(place, request, again);
   }
 
   @Override
-  public void turnedAway(String place, Request request) {
-    to.turnedAway(place, request);
+  public void requestRejected(String place, Request request) {
+    to.requestRejected(place, request);
   }
 
   @Override
-  public void missed(String place, Request request, boolean cold) {
-    to.missed(place, request, cold);
+  public void cacheMissed(String place, Request request, boolean cold) {
+    to.cacheMissed(place, request, cold);
   }
 
   @Override
-  public void made(String place, Request request, String answer) {
-    to.made(place, request, answer);
+  public void replyCreated(String place, Request request, String answer) {
+    to.replyCreated(place, request, answer);
   }
 
   @Override
-  public void pressed(double part) {
-    to.pressed(part);
+  public void coldNodeLoad(double part) {
+    to.coldNodeLoad(part);
   }
 
   @Override
-  public void pushedOver(String place, List<Arrival> work) {
-    to.pushedOver(place, work);
+  public void coldNodeCrashed(String place, List<Arrival> work) {
+    to.coldNodeCrashed(place, work);
   }
 
   @Override
-  public void collapsed(List<Arrival> work) {
-    to.collapsed(work);
+  public void originWentDown(List<Arrival> work) {
+    to.originWentDown(work);
   }
 
   @Override
-  public void told(String proxy, String host, String health, long version) {
-    to.told(proxy, host, health, version);
+  public void endpointNotified(String proxy, String host, String health, long version) {
+    to.endpointNotified(proxy, host, health, version);
   }
 }
--- a/src/main/java/pathgw/simulation/InvariantChecker.java
+++ b/src/main/java/pathgw/simulation/InvariantChecker.java
@@ -8,10 +8,10 @@
 import java.util.Map;
 import java.util.TreeMap;
 import pathgw.fake.BackendObserver;
-import pathgw.fake.ClientAttempt;
-import pathgw.fake.ClientObserver;
-import pathgw.fake.FakeClients.Effect;
 import pathgw.fake.Request;
+import pathgw.fake.client.ClientAttempt;
+import pathgw.fake.client.ClientObserver;
+import pathgw.fake.client.RequestClass.Effect;
 import pathgw.observability.RequestObserver;
 import pathgw.server.ProxyServer;
 
@@ -185,7 +185,7 @@
   }
 
   @Override
-  public void told(String proxy, String host, String health, long version) {
+  public void endpointNotified(String proxy, String host, String health, long version) {
     Map<String, Notified> now = told.get(number(proxy));
     if (host.isEmpty()) {
       now.replaceAll(
@@ -303,12 +303,12 @@
               + (first - c.overAt) / 1_000_000
               + " ms after its client had gone");
     }
-    if (first > c.ask.due().toNanos() + figures.answerSlack + ON_SOCKETS) {
+    if (first > c.ask.deadline().toNanos() + figures.answerSlack + ON_SOCKETS) {
       broken(
           1, "late-hand-off", request.id() + " is handed to " + place + " after its outer limit");
     }
     String told = request.label('d');
-    long left = c.ask.due().toNanos() - first;
+    long left = c.ask.deadline().toNanos() - first;
     if (!told.isEmpty() && Long.parseLong(told) * 1_000_000 > left + TOLD_TOO_MUCH) {
       broken(
           1,
@@ -392,7 +392,7 @@
   // Nodes and the origin.
 
   @Override
-  public void ran(String place, Request request, boolean again) {
+  public void requestAccepted(String place, Request request, boolean again) {
     RequestActions c = courses.get(request.id());
     if (c == null || !request.write() || again || ++c.effects == 1) {
       return;
@@ -407,12 +407,12 @@
   }
 
   @Override
-  public void turnedAway(String place, Request request) {
+  public void requestRejected(String place, Request request) {
     neverRan(place, request);
   }
 
   @Override
-  public void missed(String place, Request request, boolean cold) {
+  public void cacheMissed(String place, Request request, boolean cold) {
     neverRan(place, request);
     RequestActions c = courses.get(request.id());
     if (c != null) {
@@ -431,7 +431,7 @@
   }
 
   @Override
-  public void made(String place, Request request, String answer) {
+  public void replyCreated(String place, Request request, String answer) {
     RequestActions c = courses.get(request.id());
     if (c != null) {
       c.made.add(answer);
@@ -439,13 +439,13 @@
   }
 
   @Override
-  public void pressed(double part) {
+  public void coldNodeLoad(double part) {
     counts.merge(
         "rule 4, percent of what pushes a cold node over" + MOST, (long) (part * 100), Math::max);
   }
 
   @Override
-  public void pushedOver(String place, List<Arrival> work) {
+  public void coldNodeCrashed(String place, List<Arrival> work) {
     long fromTold =
         work.stream().filter(a -> told.get(number(a.from())).containsKey(place)).count();
     note(work.size(), () -> place + " falls over under " + work.size() + " accesses");
@@ -464,7 +464,7 @@
   }
 
   @Override
-  public void collapsed(List<Arrival> work) {
+  public void originWentDown(List<Arrival> work) {
     long cold =
         work.stream().map(a -> courses.get(a.id())).filter(c -> c != null && c.coldMiss).count();
     note(work.size(), () -> "the origin goes down under " + work.size() + " accesses");
@@ -484,7 +484,7 @@
   // Clients.
 
   @Override
-  public void asked(ClientAttempt ask, int proxy) {
+  public void attemptSent(ClientAttempt ask, int proxy) {
     note(
         ask.id().hashCode(),
         () ->
@@ -497,12 +497,12 @@
                 + ", "
                 + ask.id()
                 + ", waits "
-                + ask.patience().toMillis()
+                + ask.timeout().toMillis()
                 + " ms"
-                + (ask.tries() > 0 ? ", again" : ""));
+                + (ask.retries() > 0 ? ", again" : ""));
     courses.put(ask.id(), new RequestActions(ask));
     count("asked");
-    asked += ask.tries() == 0 && events.now() >= countFrom ? 1 : 0;
+    asked += ask.retries() == 0 && events.now() >= countFrom ? 1 : 0;
   }
 
   @Override
@@ -523,7 +523,7 @@
       return;
     }
     c.overAt = now;
-    long late = now - ask.due().toNanos() - figures.answerSlack - ON_SOCKETS - ON_THE_WAY;
+    long late = now - ask.deadline().toNanos() - figures.answerSlack - ON_SOCKETS - ON_THE_WAY;
     if (late > 0 && now > world.stoodUntil(proxy) + ON_THE_WAY + ON_SOCKETS) {
       broken(1, "late", ask.id() + " is answered " + late / 1_000_000 + " ms too late");
     }
@@ -533,7 +533,7 @@
       if (!answer.contains(" O" + ask.id()) || !c.made.contains(own)) {
         broken(1, "another's", ask.id() + " is served what was not made for it: " + answer);
       }
-      served += ask.tries() == 0 && ask.at().toNanos() >= countFrom ? 1 : 0;
+      served += ask.retries() == 0 && ask.sentAt().toNanos() >= countFrom ? 1 : 0;
       count("answer " + words[0]);
       return;
     }
@@ -558,7 +558,7 @@
   }
 
   @Override
-  public void left(ClientAttempt ask, int proxy) {
+  public void attemptAbandoned(ClientAttempt ask, int proxy) {
     note(2, () -> "client of " + ask.id() + " leaves");
     courses.get(ask.id()).overAt = events.now();
     courses.get(ask.id()).left = true;
@@ -566,13 +566,13 @@
   }
 
   @Override
-  public void cutOff(ClientAttempt ask, int proxy, boolean taken) {
+  public void connectionLost(ClientAttempt ask, int proxy, boolean taken) {
     note(3, () -> "connection of " + ask.id() + " ends, command " + (taken ? "taken" : "not read"));
     RequestActions c = courses.get(ask.id());
     c.overAt = events.now();
-    boolean died = world.dead(proxy) || world.bornAt(proxy) > ask.at().toNanos();
+    boolean died = world.dead(proxy) || world.bornAt(proxy) > ask.sentAt().toNanos();
     // A close that crosses a command is no loss; one long after the command had come is.
-    boolean crossed = !taken && events.now() - ask.at().toNanos() < ON_THE_WAY;
+    boolean crossed = !taken && events.now() - ask.sentAt().toNanos() < ON_THE_WAY;
     boolean unserved = c.attempts.isEmpty() && ask.firstOnConnection();
     count(
         died
@@ -587,18 +587,18 @@
   }
 
   @Override
-  public void neverAnswered(ClientAttempt ask, int proxy) {
+  public void attemptTimedOut(ClientAttempt ask, int proxy) {
     note(4, () -> ask.id() + " is never answered");
     RequestActions c = courses.get(ask.id());
     c.overAt = events.now();
-    boolean still = world.stoodUntil(proxy) + ON_THE_WAY > ask.due().toNanos();
-    if (!world.dead(proxy) && world.bornAt(proxy) <= ask.at().toNanos() && !still) {
+    boolean still = world.stoodUntil(proxy) + ON_THE_WAY > ask.deadline().toNanos();
+    if (!world.dead(proxy) && world.bornAt(proxy) <= ask.sentAt().toNanos() && !still) {
       broken(1, "no-answer", "p" + proxy + " never answers " + ask.id());
     }
   }
 
   @Override
-  public void rude(int proxy, String what, Duration took, String answer) {
+  public void malformedInputEnded(int proxy, String what, Duration took, String answer) {
     note(
         5,
         () ->
--- a/src/main/java/pathgw/simulation/ScenarioRun.java
+++ b/src/main/java/pathgw/simulation/ScenarioRun.java
@@ -16,16 +16,18 @@
 import pathgw.config.Config;
 import pathgw.fake.ConnectionHandler;
 import pathgw.fake.ConnectionSide;
-import pathgw.fake.DedupMemory;
-import pathgw.fake.FakeCacheNode;
-import pathgw.fake.FakeClients;
-import pathgw.fake.FakeClients.Effect;
-import pathgw.fake.FakeClients.RequestClass;
-import pathgw.fake.FakeDiscovery;
-import pathgw.fake.FakeOrigin;
-import pathgw.fake.FaultInjection;
 import pathgw.fake.Request;
 import pathgw.fake.RequestReader;
+import pathgw.fake.client.ClientBehavior;
+import pathgw.fake.client.FakeClients;
+import pathgw.fake.client.RequestClass;
+import pathgw.fake.client.RequestClass.Effect;
+import pathgw.fake.discovery.EndpointEntry;
+import pathgw.fake.discovery.FakeDiscovery;
+import pathgw.fake.server.DedupMemory;
+import pathgw.fake.server.FakeCacheNode;
+import pathgw.fake.server.FakeOrigin;
+import pathgw.fake.server.FaultInjection;
 import pathgw.server.ProxyServer;
 import pathgw.simulation.Fault.Kind;
 
@@ -67,7 +69,7 @@
   private final FakeDiscovery list;
 
   /** Every change of the list by its version. */
-  private final TreeMap<Long, FakeDiscovery.Entry> changed = new TreeMap<>();
+  private final TreeMap<Long, EndpointEntry> changed = new TreeMap<>();
 
   private final FakeOrigin origin;
   private final FaultInjection originFaults = new FaultInjection();
@@ -78,7 +80,7 @@
   private final Map<String, List<Node>> missedAt = new LinkedHashMap<>();
   private final Map<String, Long> faults = new LinkedHashMap<>();
   private final List<VirtualConnection> listConnections = new ArrayList<>();
-  private final FakeCacheNode.Figures nodeFigures;
+  private final FakeCacheNode.Parameters nodeFigures;
   private Address listAt = new Address("10.2.0.1", 8500);
   private long listDownUntil;
   private int incarnations;
@@ -102,8 +104,8 @@
       this.zones = zones;
     }
 
-    FakeDiscovery.Entry entry(String health) {
-      return new FakeDiscovery.Entry(
+    EndpointEntry entry(String health) {
+      return new EndpointEntry(
           host, dial.toString(), "z" + number % zones, "std", number % CELLS, health, bornMs);
     }
   }
@@ -157,7 +159,7 @@
     listProcess = process("list");
     originProcess = process("origin");
     list = new FakeDiscovery(listProcess, chance("list"), new ToldWitness());
-    list.takes(scenario.fleet().calls());
+    list.setCallsPerSecond(scenario.fleet().calls());
     int slots = Math.max(3, (int) Math.ceil(scenario.rate() * 0.01 * scenario.room()));
     origin =
         new FakeOrigin(
@@ -166,7 +168,7 @@
             chance("origin"),
             checker,
             originFaults,
-            new FakeOrigin.Figures(
+            new FakeOrigin.Parameters(
                 slots,
                 Duration.ofMillis(25),
                 64,
@@ -180,7 +182,7 @@
     double service =
         Math.max(0.004, Math.min(0.06, scenario.nodes() / (scenario.room() * scenario.rate())));
     nodeFigures =
-        new FakeCacheNode.Figures(
+        new FakeCacheNode.Parameters(
             1,
             Duration.ofNanos((long) (service * 1e9)),
             24,
@@ -247,8 +249,7 @@
     net.listen(ORIGIN, originProcess, end -> takes(end, side -> origin.accept(name(end), side)));
     listens();
     if (!scenario.through()) {
-      list.change(
-          new FakeDiscovery.Entry("origin", ORIGIN.toString(), "z0", "origin", 0, "ready", 0));
+      list.update(new EndpointEntry("origin", ORIGIN.toString(), "z0", "origin", 0, "ready", 0));
     }
     for (int i = 0; i < scenario.nodes(); i++) {
       Node n = newNode();
@@ -256,7 +257,7 @@
       for (int k = 0; k < scenario.keys(); k++) {
         n.node.store("k" + k, 0);
       }
-      list.change(n.entry("ready"));
+      list.update(n.entry("ready"));
     }
     for (int i = 0; i < scenario.proxies(); i++) {
       Gate g = new Gate(i);
@@ -265,7 +266,7 @@
       begin(g);
     }
     habits();
-    clientsProcess.in(ms(300), clients::start);
+    clientsProcess.schedule(ms(300), clients::start);
     scenario.faults().forEach(f -> events.at(f.atMs() * 1_000_000, null, () -> strike(f)));
     events.at(
         Math.max(0, scenario.lastsMs() - SERVICE_OVER_MS) * 1_000_000, null, checker::countFromNow);
@@ -307,10 +308,10 @@
   }
 
   private void habits() {
-    FakeClients.Habits h = clients.habits();
-    h.rate = scenario.rate();
-    h.rude = scenario.rude();
-    h.stay = scenario.stay();
+    ClientBehavior h = clients.behavior();
+    h.requestsPerSecond = scenario.rate();
+    h.malformedPerSecond = scenario.rude();
+    h.keptOpenShare = scenario.stay();
   }
 
   // Connections.
@@ -326,8 +327,8 @@
     if (talk == null) {
       return false;
     }
-    end.onData(talk::came);
-    end.onClose(over -> talk.over());
+    end.onData(talk::received);
+    end.onClose(over -> talk.ended());
     return true;
   }
 
@@ -353,7 +354,7 @@
     }
 
     @Override
-    public boolean unread() {
+    public boolean peerHasUnreadBytes() {
       return end.unreadThere();
     }
   }
@@ -377,15 +378,15 @@
     connection.tap(
         bytes -> {
           first[0] = first[0] < 0 ? events.now() : first[0];
-          scan.take(bytes);
+          scan.read(bytes);
         });
   }
 
   // Nodes and the origin.
 
-  private final class Copies implements FakeOrigin.Copies {
+  private final class Copies implements FakeOrigin.CacheListener {
     @Override
-    public void fetched(Request request, int version) {
+    public void valueFetched(Request request, int version) {
       List<Node> at = missedAt.remove(request.id());
       if (at != null) {
         at.stream()
@@ -395,8 +396,8 @@
     }
 
     @Override
-    public void outdated(String key) {
-      nodes.stream().filter(n -> !n.process.dead()).forEach(n -> n.node.drop(key));
+    public void valueOutdated(String key) {
+      nodes.stream().filter(n -> !n.process.dead()).forEach(n -> n.node.remove(key));
     }
   }
 
@@ -450,11 +451,11 @@
     }
 
     @Override
-    public void missed(String place, Request request, boolean cold) {
+    public void cacheMissed(String place, Request request, boolean cold) {
       if (!scenario.through()) {
         missedAt.computeIfAbsent(request.id(), id -> new ArrayList<>(1)).add(node);
       }
-      super.missed(place, request, cold);
+      super.cacheMissed(place, request, cold);
     }
   }
 
@@ -464,8 +465,8 @@
     }
 
     @Override
-    public void told(String proxy, String host, String health, long version) {
-      super.told(proxy, host, health, version);
+    public void endpointNotified(String proxy, String host, String health, long version) {
+      super.endpointNotified(proxy, host, health, version);
       if (host.isEmpty() || !health.isEmpty()) {
         knows(gates.get(Integer.parseInt(proxy.substring(1))));
       }
@@ -474,19 +475,19 @@
 
   private void knows(Gate g) {
     // Told of each of 200 nodes in turn, it knows no more than by the first.
-    if (g.known != null && g.knownVersion == list.seq()) {
+    if (g.known != null && g.knownVersion == list.version()) {
       return;
     }
-    g.known = list.whole();
-    g.knownVersion = list.seq();
+    g.known = list.completeListJson();
+    g.knownVersion = list.version();
     Map<String, String> health = new LinkedHashMap<>();
     list.entries().forEach(e -> health.put(e.host(), e.health()));
     g.knownHealth = health;
   }
 
   private void listed(Node n, String health) {
-    list.change(n.entry(health));
-    long version = list.seq();
+    list.update(n.entry(health));
+    long version = list.version();
     changed.put(version, n.entry(health));
     long since = events.now();
     gates.forEach(g -> countsAsToldIfDeaf(g, n.entry(health)));
@@ -502,8 +503,8 @@
    * Whatever became of its calls: so long after the discovery service had it and could be reached,
    * by a process that was there. What has changed back by then nobody can be told any more.
    */
-  private void countsAsTold(Gate g, FakeDiscovery.Entry e, long version, long since) {
-    if (g.process.dead() || !list.says(e.host(), e.health())) {
+  private void countsAsTold(Gate g, EndpointEntry e, long version, long since) {
+    if (g.process.dead() || !list.hasHealth(e.host(), e.health())) {
       return;
     }
     long from = Math.max(since, Math.max(listDownUntil, g.bornAt));
@@ -559,7 +560,7 @@
                 .onComplete(
                     port -> {
                       g.serves = true;
-                      clients.serves(g.number);
+                      clients.proxyStarted(g.number);
                       trace.say(events.now(), () -> "p" + g.number + " serves");
                     },
                     e -> checker.broken(5, "start", "p" + g.number + " does not start: " + e)));
@@ -573,7 +574,7 @@
   private void stop(Gate g, long againMs) {
     VirtualProcess own = g.process;
     g.leaving = true;
-    clients.stops(g.number);
+    clients.proxyDraining(g.number);
     events.in(
         STOP_WITHIN_MS * 1_000_000,
         null,
@@ -696,7 +697,7 @@
 
   @Override
   public boolean cold(String place) {
-    return place.startsWith("n") && nodes.get(Integer.parseInt(place.substring(1))).node.cold();
+    return place.startsWith("n") && nodes.get(Integer.parseInt(place.substring(1))).node.isCold();
   }
 
   @Override
@@ -749,12 +750,13 @@
     faults.merge(f.kind().word(), 1L, Long::sum);
     Node n = f.kind().on == Fault.On.NODE ? nodes.get(f.target() % scenario.nodes()) : null;
     Gate g = f.kind().on == Fault.On.PROXY ? gates.get(f.target() % gates.size()) : null;
-    FakeClients.Habits h = clients.habits();
+    ClientBehavior h = clients.behavior();
     switch (f.kind()) {
       case DIES, MOVES -> die(n, f);
       case FREEZES -> n.process.standStill(events.now() + f.forMs() * 1_000_000);
       case VANISHES -> vanish(n, f);
-      case SLOW -> during(f, () -> n.mischief.slower = f.by(), () -> n.mischief.slower = 1);
+      case SLOW ->
+          during(f, () -> n.mischief.slowdownFactor = f.by(), () -> n.mischief.slowdownFactor = 1);
       case DRAINS -> drain(n);
       case FLUSHED -> n.node.flush();
       case CUTS -> {
@@ -765,27 +767,43 @@
         VirtualProcess to = n.process;
         during(f, () -> net.connectsLate(to, (long) (f.by() * 1e6)), () -> net.connectsLate(to, 0));
       }
-      case RESETS -> during(f, () -> n.mischief.resets = f.by(), () -> n.mischief.resets = 0);
-      case CLOSES -> during(f, () -> n.mischief.closes = f.by(), () -> n.mischief.closes = 0);
-      case SPOILS -> during(f, () -> n.mischief.spoils = f.by(), () -> n.mischief.spoils = 0);
-      case BABBLES -> during(f, () -> n.mischief.extra = f.by(), () -> n.mischief.extra = 0);
-      case FAILS -> during(f, () -> n.mischief.fails = f.by(), () -> n.mischief.fails = 0);
-      case BUSY -> during(f, () -> n.mischief.busy = f.by(), () -> n.mischief.busy = 0);
+      case RESETS ->
+          during(f, () -> n.mischief.resetShare = f.by(), () -> n.mischief.resetShare = 0);
+      case CLOSES ->
+          during(f, () -> n.mischief.closedShare = f.by(), () -> n.mischief.closedShare = 0);
+      case SPOILS ->
+          during(
+              f,
+              () -> n.mischief.corruptReplyShare = f.by(),
+              () -> n.mischief.corruptReplyShare = 0);
+      case BABBLES ->
+          during(
+              f, () -> n.mischief.extraBytesShare = f.by(), () -> n.mischief.extraBytesShare = 0);
+      case FAILS ->
+          during(f, () -> n.mischief.errorShare = f.by(), () -> n.mischief.errorShare = 0);
+      case BUSY ->
+          during(f, () -> n.mischief.rejectedShare = f.by(), () -> n.mischief.rejectedShare = 0);
       case GROWS -> grow();
       case DEPLOY -> deploy(f);
       case ORIGIN_SLOW ->
-          during(f, () -> originFaults.slower = f.by(), () -> originFaults.slower = 1);
+          during(
+              f, () -> originFaults.slowdownFactor = f.by(), () -> originFaults.slowdownFactor = 1);
       case ORIGIN_FAILS ->
-          during(f, () -> originFaults.fails = f.by(), () -> originFaults.fails = 0);
+          during(f, () -> originFaults.errorShare = f.by(), () -> originFaults.errorShare = 0);
       case ORIGIN_SPOILS ->
-          during(f, () -> originFaults.spoils = f.by(), () -> originFaults.spoils = 0);
+          during(
+              f,
+              () -> originFaults.corruptReplyShare = f.by(),
+              () -> originFaults.corruptReplyShare = 0);
       case ORIGIN_RESETS ->
-          during(f, () -> originFaults.resets = f.by(), () -> originFaults.resets = 0);
+          during(f, () -> originFaults.resetShare = f.by(), () -> originFaults.resetShare = 0);
       case LIST_LATE ->
-          during(f, () -> list.late(ms((long) f.by())), () -> list.late(Duration.ZERO));
+          during(
+              f, () -> list.setMaxDelay(ms((long) f.by())), () -> list.setMaxDelay(Duration.ZERO));
       case LIST_DOWN -> down(f);
-      case LIST_REFUSES -> during(f, () -> list.refuses(f.by()), () -> list.refuses(0));
-      case LIST_ENDS -> list.endWatches();
+      case LIST_REFUSES ->
+          during(f, () -> list.setRefusedShare(f.by()), () -> list.setRefusedShare(0));
+      case LIST_ENDS -> list.closeConnections();
       case LIST_SILENT -> silent(f.by());
       case LIST_DRAINS -> listDrains(f);
       case PEERS_LOSE -> during(f, () -> net.datagrams(f.by(), 0), () -> net.datagrams(0, 0));
@@ -804,10 +822,13 @@
       case STANDS_STILL -> g.process.standStill(events.now() + f.forMs() * 1_000_000);
       case HANGUP -> hangUp();
       case BURST ->
-          during(f, () -> h.rate = scenario.rate() * f.by(), () -> h.rate = scenario.rate());
-      case HOT -> during(f, () -> h.hot = f.by(), () -> h.hot = 0);
-      case GREED -> during(f, () -> h.greed = f.by(), () -> h.greed = 1);
-      case LEAVE -> during(f, () -> h.leaves = f.by(), () -> h.leaves = 0);
+          during(
+              f,
+              () -> h.requestsPerSecond = scenario.rate() * f.by(),
+              () -> h.requestsPerSecond = scenario.rate());
+      case HOT -> during(f, () -> h.hotKeyShare = f.by(), () -> h.hotKeyShare = 0);
+      case GREED -> during(f, () -> h.firstTenantWeight = f.by(), () -> h.firstTenantWeight = 1);
+      case LEAVE -> during(f, () -> h.abandonedShare = f.by(), () -> h.abandonedShare = 0);
       case RESTART ->
           gates.stream()
               .limit((long) (gates.size() * Math.min(1, f.by())))
@@ -834,19 +855,19 @@
                         .values()
                         .forEach(
                             e -> {
-                              if (list.says(e.host(), e.health())) {
+                              if (list.hasHealth(e.host(), e.health())) {
                                 countsAsToldIfDeaf(g, e);
                               }
                             })));
   }
 
-  private void countsAsToldIfDeaf(Gate g, FakeDiscovery.Entry e) {
-    Duration since = list.deafSince("p" + g.number);
+  private void countsAsToldIfDeaf(Gate g, EndpointEntry e) {
+    Duration since = list.silentSince("p" + g.number);
     if (since != null
         && !g.process.dead()
         && g.bornAt < since.toNanos()
         && since.plus(TOLD_WITHIN).toNanos() <= events.now()) {
-      checker.countsAsTold(g.number, e.host(), e.health(), list.seq());
+      checker.countsAsTold(g.number, e.host(), e.health(), list.version());
     }
   }
 
@@ -887,7 +908,7 @@
         f.forMs() == 0
             ? Long.MAX_VALUE / 2
             : Math.max(listDownUntil, events.now() + f.forMs() * 1_000_000);
-    during(f, () -> list.down(true), () -> list.down(false));
+    during(f, () -> list.setDown(true), () -> list.setDown(false));
   }
 
   private void die(Node n, Fault f) {
--- a/src/main/java/pathgw/simulation/VirtualProcess.java
+++ b/src/main/java/pathgw/simulation/VirtualProcess.java
@@ -38,7 +38,7 @@
   }
 
   @Override
-  public void in(Duration span, Runnable what) {
+  public void schedule(Duration span, Runnable what) {
     events.in(span.toNanos(), this, what);
   }
 
