--- a/src/main/java/pathgw/simulation/DiscoveryFaults.java
+++ b/src/main/java/pathgw/simulation/DiscoveryFaults.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
-import pathgw.fake.FakeDiscovery;
+import pathgw.fake.discovery.FakeDiscovery;
 import pathgw.simulation.cluster.Cluster;
 import pathgw.simulation.cluster.EndpointHealth;
 import pathgw.simulation.cluster.RunEnvironment;
@@ -30,13 +30,13 @@
     FakeDiscovery service = discovery.service();
     switch (fault.kind()) {
       case LIST_LATE ->
-          timer.during(fault, delayMs -> service.late(Duration.ofMillis((long) delayMs)), 0);
+          timer.during(fault, delayMs -> service.setMaxDelay(Duration.ofMillis((long) delayMs)), 0);
       case LIST_DOWN -> {
         discovery.markUnreachable(fault);
-        timer.during(fault, () -> service.down(true), () -> service.down(false));
+        timer.during(fault, () -> service.setDown(true), () -> service.setDown(false));
       }
-      case LIST_REFUSES -> timer.during(fault, service::refuses, 0);
-      case LIST_ENDS -> service.endWatches();
+      case LIST_REFUSES -> timer.during(fault, service::setRefusedShare, 0);
+      case LIST_ENDS -> service.closeConnections();
       case LIST_SILENT -> discovery.silenceWatches(fault.by());
       case LIST_DRAINS -> listAsDraining(fault);
       default -> throw new IllegalArgumentException("no fault of discovery: " + fault);
--- a/src/main/java/pathgw/simulation/FaultInjector.java
+++ b/src/main/java/pathgw/simulation/FaultInjector.java
@@ -3,8 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import pathgw.fake.FakeClients;
-import pathgw.fake.FaultInjection;
+import pathgw.fake.client.ClientBehavior;
+import pathgw.fake.server.FaultInjection;
 import pathgw.simulation.cluster.Cluster;
 import pathgw.simulation.cluster.RunEnvironment;
 import pathgw.simulation.cluster.SimulatedNode;
@@ -80,10 +80,10 @@
   private void injectAtOrigin(Fault fault) {
     FaultInjection origin = cluster.nodes().originFaults();
     switch (fault.kind()) {
-      case ORIGIN_SLOW -> timer.during(fault, factor -> origin.slower = factor, 1);
-      case ORIGIN_FAILS -> timer.during(fault, share -> origin.fails = share, 0);
-      case ORIGIN_SPOILS -> timer.during(fault, share -> origin.spoils = share, 0);
-      case ORIGIN_RESETS -> timer.during(fault, share -> origin.resets = share, 0);
+      case ORIGIN_SLOW -> timer.during(fault, factor -> origin.slowdownFactor = factor, 1);
+      case ORIGIN_FAILS -> timer.during(fault, share -> origin.errorShare = share, 0);
+      case ORIGIN_SPOILS -> timer.during(fault, share -> origin.corruptReplyShare = share, 0);
+      case ORIGIN_RESETS -> timer.during(fault, share -> origin.resetShare = share, 0);
       default -> throw new IllegalArgumentException("no fault of the origin: " + fault);
     }
   }
@@ -102,13 +102,14 @@
   }
 
   private void injectAtClients(Fault fault) {
-    FakeClients.Habits habits = cluster.clients().habits();
+    ClientBehavior habits = cluster.clients().behavior();
     double steadyRate = environment.scenario().requestsPerSecond();
     switch (fault.kind()) {
-      case BURST -> timer.during(fault, factor -> habits.rate = steadyRate * factor, 1);
-      case HOT -> timer.during(fault, share -> habits.hot = share, 0);
-      case GREED -> timer.during(fault, factor -> habits.greed = factor, 1);
-      case LEAVE -> timer.during(fault, share -> habits.leaves = share, 0);
+      case BURST ->
+          timer.during(fault, factor -> habits.requestsPerSecond = steadyRate * factor, 1);
+      case HOT -> timer.during(fault, share -> habits.hotKeyShare = share, 0);
+      case GREED -> timer.during(fault, factor -> habits.firstTenantWeight = factor, 1);
+      case LEAVE -> timer.during(fault, share -> habits.abandonedShare = share, 0);
       default -> throw new IllegalArgumentException("no fault of clients: " + fault);
     }
   }
--- a/src/main/java/pathgw/simulation/NodeFaults.java
+++ b/src/main/java/pathgw/simulation/NodeFaults.java
@@ -1,7 +1,7 @@
 package pathgw.simulation;
 
 import java.util.List;
-import pathgw.fake.FaultInjection;
+import pathgw.fake.server.FaultInjection;
 import pathgw.simulation.cluster.Cluster;
 import pathgw.simulation.cluster.ClusterMembers;
 import pathgw.simulation.cluster.EndpointHealth;
@@ -76,13 +76,13 @@
 
   private void injectInRequests(Fault fault, FaultInjection node) {
     switch (fault.kind()) {
-      case SLOW -> timer.during(fault, factor -> node.slower = factor, 1);
-      case RESETS -> timer.during(fault, share -> node.resets = share, 0);
-      case CLOSES -> timer.during(fault, share -> node.closes = share, 0);
-      case SPOILS -> timer.during(fault, share -> node.spoils = share, 0);
-      case BABBLES -> timer.during(fault, share -> node.extra = share, 0);
-      case FAILS -> timer.during(fault, share -> node.fails = share, 0);
-      case BUSY -> timer.during(fault, share -> node.busy = share, 0);
+      case SLOW -> timer.during(fault, factor -> node.slowdownFactor = factor, 1);
+      case RESETS -> timer.during(fault, share -> node.resetShare = share, 0);
+      case CLOSES -> timer.during(fault, share -> node.closedShare = share, 0);
+      case SPOILS -> timer.during(fault, share -> node.corruptReplyShare = share, 0);
+      case BABBLES -> timer.during(fault, share -> node.extraBytesShare = share, 0);
+      case FAILS -> timer.during(fault, share -> node.errorShare = share, 0);
+      case BUSY -> timer.during(fault, share -> node.rejectedShare = share, 0);
       default -> throw new IllegalArgumentException("no fault of a node: " + fault);
     }
   }
--- a/src/main/java/pathgw/simulation/cluster/Cluster.java
+++ b/src/main/java/pathgw/simulation/cluster/Cluster.java
@@ -6,9 +6,10 @@
 import java.util.function.Function;
 import pathgw.fake.ConnectionHandler;
 import pathgw.fake.ConnectionSide;
-import pathgw.fake.FakeClients;
-import pathgw.fake.FakeClients.Effect;
-import pathgw.fake.FakeClients.RequestClass;
+import pathgw.fake.client.ClientBehavior;
+import pathgw.fake.client.FakeClients;
+import pathgw.fake.client.RequestClass;
+import pathgw.fake.client.RequestClass.Effect;
 import pathgw.simulation.network.VirtualProcess;
 import pathgw.simulation.scenario.Scenario;
 
@@ -102,11 +103,11 @@
     for (int proxy = 0; proxy < scenario.proxies(); proxy++) {
       proxies.addProxy();
     }
-    FakeClients.Habits habits = clients.habits();
-    habits.rate = scenario.requestsPerSecond();
-    habits.rude = scenario.invalidClientsPerSecond();
-    habits.stay = scenario.idleClientShare();
-    clientsProcess.in(CLIENTS_START_AFTER, clients::start);
+    ClientBehavior habits = clients.behavior();
+    habits.requestsPerSecond = scenario.requestsPerSecond();
+    habits.malformedPerSecond = scenario.invalidClientsPerSecond();
+    habits.keptOpenShare = scenario.idleClientShare();
+    clientsProcess.schedule(CLIENTS_START_AFTER, clients::start);
   }
 
   /** What all parts of the run share. */
--- a/src/main/java/pathgw/simulation/cluster/ClusterMembers.java
+++ b/src/main/java/pathgw/simulation/cluster/ClusterMembers.java
@@ -64,7 +64,7 @@
 
   @Override
   public boolean isWarmingUp(String target) {
-    return isNode(target) && node(target).cacheNode.cold();
+    return isNode(target) && node(target).cacheNode.isCold();
   }
 
   @Override
--- a/src/main/java/pathgw/simulation/cluster/FakeConnections.java
+++ b/src/main/java/pathgw/simulation/cluster/FakeConnections.java
@@ -22,8 +22,8 @@
     if (handler == null) {
       return false;
     }
-    connection.onData(handler::came);
-    connection.onClose(reason -> handler.over());
+    connection.onData(handler::received);
+    connection.onClose(reason -> handler.ended());
     return true;
   }
 
@@ -49,7 +49,7 @@
     }
 
     @Override
-    public boolean unread() {
+    public boolean peerHasUnreadBytes() {
       return connection.hasUnreadBytesAtRemote();
     }
   }
--- a/src/main/java/pathgw/simulation/cluster/ForwardingObserver.java
+++ b/src/main/java/pathgw/simulation/cluster/ForwardingObserver.java
@@ -13,42 +13,42 @@
   }
 
   @Override
-  public void ran(String target, Request command, boolean deduplicated) {
-    delegate.ran(target, command, deduplicated);
+  public void requestAccepted(String target, Request command, boolean deduplicated) {
+    delegate.requestAccepted(target, command, deduplicated);
   }
 
   @Override
-  public void turnedAway(String target, Request command) {
-    delegate.turnedAway(target, command);
+  public void requestRejected(String target, Request command) {
+    delegate.requestRejected(target, command);
   }
 
   @Override
-  public void missed(String target, Request command, boolean cold) {
-    delegate.missed(target, command, cold);
+  public void cacheMissed(String target, Request command, boolean cold) {
+    delegate.cacheMissed(target, command, cold);
   }
 
   @Override
-  public void made(String target, Request command, String response) {
-    delegate.made(target, command, response);
+  public void replyCreated(String target, Request command, String response) {
+    delegate.replyCreated(target, command, response);
   }
 
   @Override
-  public void pressed(double loadShare) {
-    delegate.pressed(loadShare);
+  public void coldNodeLoad(double loadShare) {
+    delegate.coldNodeLoad(loadShare);
   }
 
   @Override
-  public void pushedOver(String target, List<Arrival> arrivals) {
-    delegate.pushedOver(target, arrivals);
+  public void coldNodeCrashed(String target, List<Arrival> arrivals) {
+    delegate.coldNodeCrashed(target, arrivals);
   }
 
   @Override
-  public void collapsed(List<Arrival> arrivals) {
-    delegate.collapsed(arrivals);
+  public void originWentDown(List<Arrival> arrivals) {
+    delegate.originWentDown(arrivals);
   }
 
   @Override
-  public void told(String proxy, String host, String health, long version) {
-    delegate.told(proxy, host, health, version);
+  public void endpointNotified(String proxy, String host, String health, long version) {
+    delegate.endpointNotified(proxy, host, health, version);
   }
 }
--- a/src/main/java/pathgw/simulation/cluster/NodeLifecycle.java
+++ b/src/main/java/pathgw/simulation/cluster/NodeLifecycle.java
@@ -6,12 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import pathgw.config.Address;
-import pathgw.fake.DedupMemory;
-import pathgw.fake.FakeCacheNode;
-import pathgw.fake.FakeDiscovery;
-import pathgw.fake.FakeOrigin;
-import pathgw.fake.FaultInjection;
 import pathgw.fake.Request;
+import pathgw.fake.discovery.EndpointEntry;
+import pathgw.fake.server.DedupMemory;
+import pathgw.fake.server.FakeCacheNode;
+import pathgw.fake.server.FakeOrigin;
+import pathgw.fake.server.FaultInjection;
 import pathgw.simulation.network.SimulatedTransport;
 import pathgw.simulation.network.VirtualProcess;
 import pathgw.simulation.scenario.Scenario;
@@ -50,7 +50,7 @@
   private final VirtualProcess originProcess;
   private final FaultInjection originFaults = new FaultInjection();
   private final FakeOrigin origin;
-  private final FakeCacheNode.Figures nodeFigures;
+  private final FakeCacheNode.Parameters nodeFigures;
   private final Map<String, DedupMemory> dedupMemories = new LinkedHashMap<>();
   private final Map<String, List<SimulatedNode>> nodesMissing = new LinkedHashMap<>();
   private int usedAddresses;
@@ -72,9 +72,9 @@
     nodeFigures = nodeFigures();
   }
 
-  private FakeOrigin.Figures originFigures() {
+  private FakeOrigin.Parameters originFigures() {
     double slots = scenario.requestsPerSecond() * ORIGIN_SLOTS_PER_RATE * scenario.capacityFactor();
-    return new FakeOrigin.Figures(
+    return new FakeOrigin.Parameters(
         Math.max(MIN_ORIGIN_SLOTS, (int) Math.ceil(slots)),
         ORIGIN_SERVICE_TIME,
         ORIGIN_QUEUE,
@@ -86,12 +86,12 @@
         Duration.ofMillis(scenario.dedupWindowMs()));
   }
 
-  private FakeCacheNode.Figures nodeFigures() {
+  private FakeCacheNode.Parameters nodeFigures() {
     double servedPerSecond = scenario.capacityFactor() * scenario.requestsPerSecond();
     double serviceSeconds =
         Math.max(
             MIN_SERVICE_SECONDS, Math.min(MAX_SERVICE_SECONDS, scenario.nodes() / servedPerSecond));
-    return new FakeCacheNode.Figures(
+    return new FakeCacheNode.Parameters(
         NODE_SLOTS,
         Duration.ofNanos((long) (serviceSeconds * NANOS_PER_SECOND)),
         NODE_QUEUE,
@@ -125,7 +125,7 @@
   /** Lists the origin, for proxies that fetch from it themselves. */
   void publishOrigin() {
     discovery.publishInitially(
-        new FakeDiscovery.Entry(
+        new EndpointEntry(
             ORIGIN_NAME,
             ORIGIN_ADDRESS.toString(),
             "z0",
@@ -233,18 +233,18 @@
     }
 
     @Override
-    public void missed(String target, Request command, boolean cold) {
+    public void cacheMissed(String target, Request command, boolean cold) {
       if (!scenario.readThrough()) {
         nodesMissing.computeIfAbsent(command.id(), id -> new ArrayList<>(1)).add(node);
       }
-      super.missed(target, command, cold);
+      super.cacheMissed(target, command, cold);
     }
   }
 
   /** Stores and drops copies at the nodes as the origin serves reads and writes. */
-  private final class NodeCopies implements FakeOrigin.Copies {
+  private final class NodeCopies implements FakeOrigin.CacheListener {
     @Override
-    public void fetched(Request command, int version) {
+    public void valueFetched(Request command, int version) {
       List<SimulatedNode> missing = nodesMissing.remove(command.id());
       if (missing == null) {
         return;
@@ -257,10 +257,10 @@
     }
 
     @Override
-    public void outdated(String key) {
+    public void valueOutdated(String key) {
       for (SimulatedNode node : environment.members().nodes()) {
         if (!node.process.isDead()) {
-          node.cacheNode.drop(key);
+          node.cacheNode.remove(key);
         }
       }
     }
--- a/src/main/java/pathgw/simulation/cluster/ProxyLifecycle.java
+++ b/src/main/java/pathgw/simulation/cluster/ProxyLifecycle.java
@@ -5,9 +5,9 @@
 import java.util.function.Consumer;
 import pathgw.config.Address;
 import pathgw.config.Config;
-import pathgw.fake.FakeClients;
 import pathgw.fake.Request;
 import pathgw.fake.RequestReader;
+import pathgw.fake.client.FakeClients;
 import pathgw.server.ProxyServer;
 import pathgw.simulation.network.SimulatedTransport;
 import pathgw.simulation.network.VirtualConnection;
@@ -84,7 +84,7 @@
 
   private void nowServing(SimulatedProxy proxy) {
     proxy.serving = true;
-    clients.serves(proxy.number);
+    clients.proxyStarted(proxy.number);
     environment.trace().say(environment.now(), () -> proxy.name() + " serves");
   }
 
@@ -135,7 +135,7 @@
       if (startedAtNanos < 0) {
         startedAtNanos = environment.now();
       }
-      reader.take(bytes);
+      reader.read(bytes);
     }
 
     private void completed(Request command) {
@@ -159,7 +159,7 @@
   public void stopAndRestart(SimulatedProxy proxy, long delayMs) {
     VirtualProcess process = proxy.process;
     proxy.stopping = true;
-    clients.stops(proxy.number);
+    clients.proxyDraining(proxy.number);
     environment.afterMillis(STOP_LIMIT_MS, () -> checkStopped(proxy, process));
     environment
         .network()
--- a/src/main/java/pathgw/simulation/cluster/SimulatedDiscovery.java
+++ b/src/main/java/pathgw/simulation/cluster/SimulatedDiscovery.java
@@ -7,7 +7,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import pathgw.config.Address;
-import pathgw.fake.FakeDiscovery;
+import pathgw.fake.discovery.EndpointEntry;
+import pathgw.fake.discovery.FakeDiscovery;
 import pathgw.simulation.network.VirtualConnection;
 import pathgw.simulation.network.VirtualProcess;
 import pathgw.simulation.scenario.Fault;
@@ -33,7 +34,7 @@
   private final List<VirtualConnection> connections = new ArrayList<>();
 
   /** Every published change by its version. */
-  private final TreeMap<Long, FakeDiscovery.Entry> changes = new TreeMap<>();
+  private final TreeMap<Long, EndpointEntry> changes = new TreeMap<>();
 
   private Address address = new Address(FIRST_HOST, PORT);
   private long unreachableUntilNanos;
@@ -42,7 +43,7 @@
     this.environment = environment;
     process = environment.fakeProcess("list");
     service = new FakeDiscovery(process, environment.random("list"), new NotificationObserver());
-    service.takes(environment.scenario().fleet().discoveryCallsPerSecond());
+    service.setCallsPerSecond(environment.scenario().fleet().discoveryCallsPerSecond());
   }
 
   /** The fake service, for faults of the service itself. */
@@ -82,15 +83,15 @@
   }
 
   /** Lists a node that is there from the start, of which proxies know from their configuration. */
-  void publishInitially(FakeDiscovery.Entry entry) {
-    service.change(entry);
+  void publishInitially(EndpointEntry entry) {
+    service.update(entry);
   }
 
   /** Lists a node with a new health. */
   public void publish(SimulatedNode node, EndpointHealth health) {
-    service.change(node.entry(health));
-    long version = service.seq();
-    FakeDiscovery.Entry entry = node.entry(health);
+    service.update(node.entry(health));
+    long version = service.version();
+    EndpointEntry entry = node.entry(health);
     changes.put(version, entry);
     Change change = new Change(entry, version, environment.now());
     environment.members().proxies().forEach(proxy -> assumeNotifiedIfWatchSilent(proxy, entry));
@@ -113,7 +114,7 @@
         });
   }
 
-  private record Change(FakeDiscovery.Entry entry, long version, long publishedAtNanos) {}
+  private record Change(EndpointEntry entry, long version, long publishedAtNanos) {}
 
   /**
    * A proxy counts as notified of a change once it ran, and discovery was reachable, for {@link
@@ -121,8 +122,8 @@
    * count, since nobody can be notified of it any more.
    */
   private void assumeNotified(SimulatedProxy proxy, Change change) {
-    FakeDiscovery.Entry entry = change.entry;
-    if (proxy.process.isDead() || !service.says(entry.host(), entry.health())) {
+    EndpointEntry entry = change.entry;
+    if (proxy.process.isDead() || !service.hasHealth(entry.host(), entry.health())) {
       return;
     }
     long reachableFrom =
@@ -149,22 +150,22 @@
   }
 
   private void assumeCurrentChangesNotified(SimulatedProxy proxy) {
-    for (FakeDiscovery.Entry entry : changes.values()) {
-      if (service.says(entry.host(), entry.health())) {
+    for (EndpointEntry entry : changes.values()) {
+      if (service.hasHealth(entry.host(), entry.health())) {
         assumeNotifiedIfWatchSilent(proxy, entry);
       }
     }
   }
 
-  private void assumeNotifiedIfWatchSilent(SimulatedProxy proxy, FakeDiscovery.Entry entry) {
-    Duration silentSince = service.deafSince(proxy.name());
+  private void assumeNotifiedIfWatchSilent(SimulatedProxy proxy, EndpointEntry entry) {
+    Duration silentSince = service.silentSince(proxy.name());
     if (silentSince != null
         && !proxy.process.isDead()
         && proxy.startedAtNanos < silentSince.toNanos()
         && silentSince.plus(NOTIFICATION_LIMIT).toNanos() <= environment.now()) {
       environment
           .checker()
-          .assumeNotified(proxy.number, entry.host(), entry.health(), service.seq());
+          .assumeNotified(proxy.number, entry.host(), entry.health(), service.version());
     }
   }
 
@@ -181,11 +182,11 @@
   /** The proxy's next process will start with the list as it is now. */
   void rememberList(SimulatedProxy proxy) {
     // A complete list is many events of one version; the proxy knows no more after the second.
-    if (proxy.lastKnownList != null && proxy.lastKnownVersion == service.seq()) {
+    if (proxy.lastKnownList != null && proxy.lastKnownVersion == service.version()) {
       return;
     }
-    proxy.lastKnownList = service.whole();
-    proxy.lastKnownVersion = service.seq();
+    proxy.lastKnownList = service.completeListJson();
+    proxy.lastKnownVersion = service.version();
     Map<String, String> healthByHost = new LinkedHashMap<>();
     service.entries().forEach(entry -> healthByHost.put(entry.host(), entry.health()));
     proxy.lastKnownHealth = healthByHost;
@@ -197,8 +198,8 @@
     }
 
     @Override
-    public void told(String proxy, String host, String health, long version) {
-      super.told(proxy, host, health, version);
+    public void endpointNotified(String proxy, String host, String health, long version) {
+      super.endpointNotified(proxy, host, health, version);
       if (host.isEmpty() || !health.isEmpty()) {
         rememberList(environment.members().proxyNamed(proxy));
       }
--- a/src/main/java/pathgw/simulation/cluster/SimulatedNode.java
+++ b/src/main/java/pathgw/simulation/cluster/SimulatedNode.java
@@ -1,9 +1,9 @@
 package pathgw.simulation.cluster;
 
 import pathgw.config.Address;
-import pathgw.fake.FakeCacheNode;
-import pathgw.fake.FakeDiscovery;
-import pathgw.fake.FaultInjection;
+import pathgw.fake.discovery.EndpointEntry;
+import pathgw.fake.server.FakeCacheNode;
+import pathgw.fake.server.FaultInjection;
 import pathgw.simulation.network.VirtualProcess;
 
 /** A cache node under one name, through all its processes. */
@@ -66,8 +66,8 @@
   }
 
   /** Its line of the endpoint list. */
-  FakeDiscovery.Entry entry(EndpointHealth health) {
-    return new FakeDiscovery.Entry(
+  EndpointEntry entry(EndpointHealth health) {
+    return new EndpointEntry(
         host,
         address.toString(),
         "z" + zone(),
--- a/src/main/java/pathgw/simulation/invariant/EffectInvariants.java
+++ b/src/main/java/pathgw/simulation/invariant/EffectInvariants.java
@@ -2,8 +2,8 @@
 
 import static pathgw.simulation.invariant.RunContext.NANOS_PER_MILLI;
 
-import pathgw.fake.FakeClients.Effect;
 import pathgw.fake.Request;
+import pathgw.fake.client.RequestClass.Effect;
 import pathgw.simulation.invariant.RequestRecord.AttemptRecord;
 
 /**
--- a/src/main/java/pathgw/simulation/invariant/InvariantChecker.java
+++ b/src/main/java/pathgw/simulation/invariant/InvariantChecker.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import pathgw.fake.BackendObserver;
-import pathgw.fake.ClientAttempt;
-import pathgw.fake.ClientObserver;
 import pathgw.fake.Request;
+import pathgw.fake.client.ClientAttempt;
+import pathgw.fake.client.ClientObserver;
 import pathgw.observability.RequestObserver;
 import pathgw.server.ResourceUsage;
 
@@ -178,22 +178,22 @@
   // Discovery, nodes and the origin.
 
   @Override
-  public void told(String proxy, String host, String health, long version) {
+  public void endpointNotified(String proxy, String host, String health, long version) {
     endpointRules.notified(proxy, host, health, version);
   }
 
   @Override
-  public void ran(String target, Request command, boolean deduplicated) {
+  public void requestAccepted(String target, Request command, boolean deduplicated) {
     effectRules.ran(target, command, deduplicated);
   }
 
   @Override
-  public void turnedAway(String target, Request command) {
+  public void requestRejected(String target, Request command) {
     markNeverRan(target, command);
   }
 
   @Override
-  public void missed(String target, Request command, boolean cold) {
+  public void cacheMissed(String target, Request command, boolean cold) {
     markNeverRan(target, command);
     RequestRecord request = run.request(command.id());
     if (request != null) {
@@ -209,7 +209,7 @@
   }
 
   @Override
-  public void made(String target, Request command, String response) {
+  public void replyCreated(String target, Request command, String response) {
     RequestRecord request = run.request(command.id());
     if (request != null) {
       request.madeResponses.add(response);
@@ -217,24 +217,24 @@
   }
 
   @Override
-  public void pressed(double loadShare) {
+  public void coldNodeLoad(double loadShare) {
     overloadRules.coldNodeLoaded(loadShare);
   }
 
   @Override
-  public void pushedOver(String node, List<Arrival> arrivals) {
+  public void coldNodeCrashed(String node, List<Arrival> arrivals) {
     overloadRules.coldNodeOverloaded(node, arrivals);
   }
 
   @Override
-  public void collapsed(List<Arrival> arrivals) {
+  public void originWentDown(List<Arrival> arrivals) {
     overloadRules.originOverloaded(arrivals);
   }
 
   // Clients.
 
   @Override
-  public void asked(ClientAttempt attempt, int proxy) {
+  public void attemptSent(ClientAttempt attempt, int proxy) {
     run.event(attempt.id().hashCode(), () -> describe(attempt, proxy));
     run.add(new RequestRecord(attempt));
     run.counters.count("client requests");
@@ -248,8 +248,8 @@
         attempt.requestClass().name(),
         attempt.key(),
         attempt.id(),
-        attempt.patience().toMillis(),
-        attempt.tries() > 0 ? ", retry" : "");
+        attempt.timeout().toMillis(),
+        attempt.retries() > 0 ? ", retry" : "");
   }
 
   @Override
@@ -292,7 +292,7 @@
   }
 
   @Override
-  public void left(ClientAttempt attempt, int proxy) {
+  public void attemptAbandoned(ClientAttempt attempt, int proxy) {
     run.event(CLIENT_LEFT_EVENT, () -> "client of " + attempt.id() + " leaves");
     RequestRecord request = run.request(attempt.id());
     request.endedAtNanos = run.nowNanos();
@@ -301,7 +301,7 @@
   }
 
   @Override
-  public void cutOff(ClientAttempt attempt, int proxy, boolean commandRead) {
+  public void connectionLost(ClientAttempt attempt, int proxy, boolean commandRead) {
     run.event(
         CONNECTION_LOST_EVENT,
         () ->
@@ -314,7 +314,7 @@
   }
 
   @Override
-  public void neverAnswered(ClientAttempt attempt, int proxy) {
+  public void attemptTimedOut(ClientAttempt attempt, int proxy) {
     run.event(NEVER_ANSWERED_EVENT, () -> attempt.id() + " is never answered");
     RequestRecord request = run.request(attempt.id());
     request.endedAtNanos = run.nowNanos();
@@ -322,7 +322,7 @@
   }
 
   @Override
-  public void rude(int proxy, String behavior, Duration waited, String response) {
+  public void malformedInputEnded(int proxy, String behavior, Duration waited, String response) {
     run.event(
         INVALID_CLIENT_EVENT,
         () ->
--- a/src/main/java/pathgw/simulation/invariant/RequestInvariants.java
+++ b/src/main/java/pathgw/simulation/invariant/RequestInvariants.java
@@ -146,7 +146,7 @@
    * @param commandRead whether the proxy had read the command, as far as that can be known
    */
   void connectionLost(int proxy, RequestRecord request, boolean commandRead) {
-    long sentAt = request.clientAttempt.at().toNanos();
+    long sentAt = request.clientAttempt.sentAt().toNanos();
     boolean proxyDied = run.world.isDead(proxy) || run.world.startedAtNanos(proxy) > sentAt;
     // A close that crosses a command loses nothing; one long after the command had arrived does.
     boolean crossed = !commandRead && run.nowNanos() - sentAt < TRANSIT_NANOS;
@@ -171,7 +171,7 @@
 
   /** A client gave up long after the deadline of its request. */
   void neverAnswered(int proxy, RequestRecord request) {
-    long sentAt = request.clientAttempt.at().toNanos();
+    long sentAt = request.clientAttempt.sentAt().toNanos();
     boolean proxyDied = run.world.isDead(proxy) || run.world.startedAtNanos(proxy) > sentAt;
     boolean stalled = run.world.stalledUntilNanos(proxy) + TRANSIT_NANOS > request.deadlineNanos();
     if (!proxyDied && !stalled) {
--- a/src/main/java/pathgw/simulation/invariant/RequestRecord.java
+++ b/src/main/java/pathgw/simulation/invariant/RequestRecord.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import pathgw.fake.ClientAttempt;
+import pathgw.fake.client.ClientAttempt;
 
 /** Everything that is known of one request, from its arrival at a proxy to its end. */
 final class RequestRecord {
@@ -48,7 +48,7 @@
   }
 
   long deadlineNanos() {
-    return clientAttempt.due().toNanos();
+    return clientAttempt.deadline().toNanos();
   }
 
   /** The proxy has decided to reject or fail the request; only the first decision counts. */
--- a/src/main/java/pathgw/simulation/invariant/ServiceRate.java
+++ b/src/main/java/pathgw/simulation/invariant/ServiceRate.java
@@ -1,6 +1,6 @@
 package pathgw.simulation.invariant;
 
-import pathgw.fake.ClientAttempt;
+import pathgw.fake.client.ClientAttempt;
 
 /** The share of the clients' first attempts that were served, from one moment of the run on. */
 final class ServiceRate {
@@ -13,13 +13,13 @@
   }
 
   void requestStarted(ClientAttempt attempt, long nowNanos) {
-    if (attempt.tries() == 0 && nowNanos >= measuredFromNanos) {
+    if (attempt.retries() == 0 && nowNanos >= measuredFromNanos) {
       started++;
     }
   }
 
   void requestServed(ClientAttempt attempt) {
-    if (attempt.tries() == 0 && attempt.at().toNanos() >= measuredFromNanos) {
+    if (attempt.retries() == 0 && attempt.sentAt().toNanos() >= measuredFromNanos) {
       served++;
     }
   }
--- a/src/main/java/pathgw/simulation/network/VirtualProcess.java
+++ b/src/main/java/pathgw/simulation/network/VirtualProcess.java
@@ -42,7 +42,7 @@
   }
 
   @Override
-  public void in(Duration delay, Runnable action) {
+  public void schedule(Duration delay, Runnable action) {
     events.in(delay.toNanos(), this, action);
   }
 
