--- /dev/null
+++ b/src/main/java/pathgw/cli/SeedBounds.java
@@ -0,0 +1,31 @@
+package pathgw.cli;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A range of seeds.
+ *
+ * @param from the first seed
+ * @param to the last seed
+ */
+record SeedBounds(long from, long to) {
+  private static final Pattern FORM = Pattern.compile("(\\d{1,12})-(\\d{1,12})");
+  private static final long MAX_SPAN = 10_000_000;
+
+  long count() {
+    return to - from + 1;
+  }
+
+  /** Reads a range, or returns null if it is not of the form or too large. */
+  static SeedBounds parse(String text) {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      return null;
+    }
+    SeedBounds bounds =
+        new SeedBounds(Long.parseLong(matcher.group(1)), Long.parseLong(matcher.group(2)));
+    boolean valid = bounds.from <= bounds.to && bounds.to - bounds.from <= MAX_SPAN;
+    return valid ? bounds : null;
+  }
+}
--- a/src/main/java/pathgw/cli/SimulateCommand.java
+++ b/src/main/java/pathgw/cli/SimulateCommand.java
@@ -4,8 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -19,13 +17,21 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
-/** Plays seeds or a script of the simulation and prints what was broken. */
+/** Plays seeds or a scenario file in the simulation and prints the violations. */
 @Command(
     name = "simulate",
     mixinStandardHelpOptions = true,
-    description = "Plays the proxy on a virtual network and clock, with troubles drawn from seeds.")
+    description = "Plays the proxy on a virtual network and clock, with faults drawn from seeds.")
 final class SimulateCommand implements Callable<Integer> {
-  private static final class What {
+  private static final int EXIT_OK = 0;
+  private static final int EXIT_VIOLATION = 1;
+  private static final int MAX_THREADS = 256;
+
+  /** On a terminal, progress is shown once in so many runs. */
+  private static final int RUNS_BETWEEN_PROGRESS = 50;
+
+  /** What is played; exactly one of these is given. */
+  private static final class Input {
     @Option(names = "--seeds", paramLabel = "FROM-TO", description = "All seeds of this range.")
     private String seeds;
 
@@ -35,17 +41,17 @@
     @Option(
         names = "--script",
         paramLabel = "FILE",
-        description = "A script, as a failing run leaves one.")
-    private Path scenario;
+        description = "A scenario, as a failing run leaves one.")
+    private Path scenarioFile;
   }
 
   @Spec private CommandSpec spec;
 
   @ArgGroup(multiplicity = "1")
-  private What what;
+  private Input input;
 
   @Option(names = "--jobs", paramLabel = "N", description = "Threads; as many as cores by default.")
-  private int jobs = Runtime.getRuntime().availableProcessors();
+  private int threads = Runtime.getRuntime().availableProcessors();
 
   @Option(names = "--fleet", description = "Seeds draw fleets of up to 100 proxies and 200 nodes.")
   private boolean fleet;
@@ -53,118 +59,93 @@
   @Option(names = "--trace", description = "Prints all that happens in one run.")
   private boolean trace;
 
-  @Option(names = "--counts", description = "Prints how often each trouble, end and answer came.")
+  @Option(names = "--counts", description = "Prints how often each fault, end and response came.")
   private boolean counts;
 
   @Option(
       names = "--keep",
       paramLabel = "DIR",
-      description = "Leaves the shrunk scripts of failing seeds there.")
-  private Path keep;
+      description = "Stores the shrunk scenarios of failing seeds there.")
+  private Path keepDirectory;
 
   @Override
   public Integer call() throws InterruptedException, IOException {
-    quiet();
-    if (jobs < 1 || jobs > 256) {
-      throw new ParameterException(spec.commandLine(), "--jobs is not between 1 and 256");
+    turnLoggingOff();
+    if (threads < 1 || threads > MAX_THREADS) {
+      throw invalidUse("--jobs is not between 1 and " + MAX_THREADS);
     }
-    if (what.seeds != null) {
-      return seeds();
+    if (input.seeds != null) {
+      return playSeeds();
     }
-    if (what.seed != null && what.seed < 0) {
-      throw new ParameterException(spec.commandLine(), "--seed is below 0");
+    if (input.seed != null && input.seed < 0) {
+      throw invalidUse("--seed is below 0");
     }
+    return playScenario();
+  }
+
+  private int playScenario() {
     String scenario =
-        what.seed != null ? SeedRange.scenario(what.seed, fleet) : read(what.scenario);
+        input.seed != null ? SeedRange.scenario(input.seed, fleet) : read(input.scenarioFile);
     try {
-      String breach = SeedRange.playScenario(scenario, trace ? System.out::println : null);
-      System.out.println(breach == null ? "all rules kept" : scenario + breach);
-      return breach == null ? 0 : 1;
+      String violation = SeedRange.playScenario(scenario, trace ? System.out::println : null);
+      System.out.println(violation == null ? "all rules kept" : scenario + violation);
+      return violation == null ? EXIT_OK : EXIT_VIOLATION;
     } catch (InvalidInputException e) {
-      throw new ParameterException(spec.commandLine(), what.scenario + ": " + e.getMessage());
+      throw invalidUse(input.scenarioFile + ": " + e.getMessage());
     }
   }
 
+  private int playSeeds() throws InterruptedException, IOException {
+    SeedBounds bounds = SeedBounds.parse(input.seeds);
+    if (bounds == null) {
+      throw invalidUse("--seeds is '" + input.seeds + "', not a range like 0-9999");
+    }
+    long startNanos = System.nanoTime();
+    SeedRange.Result result = play(bounds);
+    SeedRangeReport report = new SeedRangeReport(result, System.out);
+    report.printFailures(keepDirectory);
+    if (counts) {
+      report.printCounts();
+    }
+    report.printTotals(Duration.ofNanos(System.nanoTime() - startNanos));
+    return result.failures().isEmpty() ? EXIT_OK : EXIT_VIOLATION;
+  }
+
+  private SeedRange.Result play(SeedBounds bounds) throws InterruptedException {
+    SeedRange.ProgressListener progress = progressListener(bounds.count());
+    return fleet
+        ? SeedRange.playFleets(bounds.from(), bounds.to(), threads, true, progress)
+        : SeedRange.play(bounds.from(), bounds.to(), threads, true, progress);
+  }
+
+  @SuppressWarnings("SystemConsoleNull") // Progress lines must not fill a file.
+  private SeedRange.ProgressListener progressListener(long count) {
+    if (System.console() == null) {
+      return SeedRange.ProgressListener.NONE;
+    }
+    int runsBetween = fleet ? 1 : RUNS_BETWEEN_PROGRESS;
+    return (played, failed) -> {
+      if (played % runsBetween == 0) {
+        System.err.printf("\r%d of %d seeds, %d failed ", played, count, failed);
+      }
+    };
+  }
+
   private String read(Path file) {
     try {
       return Files.readString(file);
     } catch (IOException e) {
-      throw new ParameterException(
-          spec.commandLine(), file + ": cannot be read: " + e.getMessage());
+      throw invalidUse(file + ": cannot be read: " + e.getMessage());
     }
   }
 
-  /**
-   * What the proxies of a run log would be told thousands of times, with times of day that are not
-   * theirs.
-   */
-  private void quiet() {
+  /** The proxies of a run would log thousands of lines, with times of day that are not theirs. */
+  private static void turnLoggingOff() {
     LogManager.getLogManager().reset();
     Logger.getLogger("").setLevel(Level.OFF);
   }
 
-  private int seeds() throws InterruptedException, IOException {
-    String[] range = what.seeds.split("-", -1);
-    if (range.length != 2
-        || !range[0].matches("\\d{1,12}")
-        || !range[1].matches("\\d{1,12}")
-        || Long.parseLong(range[0]) > Long.parseLong(range[1])
-        || Long.parseLong(range[1]) - Long.parseLong(range[0]) > 10_000_000) {
-      throw new ParameterException(
-          spec.commandLine(), "--seeds is '" + what.seeds + "', not a range like 0-9999");
-    }
-    long from = Long.parseLong(range[0]);
-    long to = Long.parseLong(range[1]);
-    long began = System.nanoTime();
-    @SuppressWarnings("SystemConsoleNull") // Only that no counting line fills a file.
-    boolean terminal = System.console() != null;
-    SeedRange.ProgressListener played =
-        (done, failed) -> {
-          if (terminal && done % (fleet ? 1 : 50) == 0) {
-            System.err.printf("\r%d of %d seeds, %d failed ", done, to - from + 1, failed);
-          }
-        };
-    SeedRange.Result sum =
-        fleet
-            ? SeedRange.playFleets(from, to, jobs, true, played)
-            : SeedRange.play(from, to, jobs, true, played);
-    for (SeedRange.Failure f : sum.failures()) {
-      System.out.println("seed " + f.seed() + ": " + f.violation());
-      if (!f.shrunk().isEmpty()) {
-        System.out.println(f.shrunk().indent(4));
-        if (keep != null) {
-          Files.createDirectories(keep);
-          Files.writeString(
-              keep.resolve("seed-" + f.seed() + ".txt"), "# " + f.violation() + "\n" + f.shrunk());
-        }
-      }
-    }
-    if (counts) {
-      sum.counts().forEach((kind, n) -> System.out.printf("%10d  %s%n", n, kind));
-      List<Double> service = sum.serviceRates().stream().sorted().toList();
-      if (!service.isEmpty()) {
-        System.out.printf(
-            Locale.ROOT,
-            "service at the end: least %.3f, 1st percentile %.3f, median %.3f%n",
-            service.get(0),
-            service.get(service.size() / 100),
-            service.get(service.size() / 2));
-      }
-    }
-    double took = Duration.ofNanos(System.nanoTime() - began).toMillis() / 1000.0;
-    System.out.printf(
-        Locale.ROOT,
-        "%.1f seeds/s, %.0f virtual s/s, %d steps%n",
-        sum.played() / took,
-        sum.virtualMs() / 1000.0 / took,
-        sum.steps());
-    System.out.printf(
-        Locale.ROOT,
-        "%d seeds, %d failed, %.1f s, digest %016x%n",
-        sum.played(),
-        sum.failures().size(),
-        took,
-        sum.digest());
-    return sum.failures().isEmpty() ? 0 : 1;
+  private ParameterException invalidUse(String message) {
+    return new ParameterException(spec.commandLine(), message);
   }
 }
--- a/src/main/java/pathgw/cli/package-info.java
+++ b/src/main/java/pathgw/cli/package-info.java
@@ -1,5 +1,8 @@
 /**
- * The command line, thin: words to calls, results to lines and exit codes. Nothing uses it but
- * {@code Main}.
+ * Answers the command line: it turns arguments into calls, and results into lines and exit
+ * statuses.
+ *
+ * <p>Only {@code pathgw.Main} calls it, through {@link pathgw.cli.Cli}, for every subcommand but
+ * the serving process itself. It holds no logic of its own and nothing may depend on it.
  */
 package pathgw.cli;
