--- a/src/main/java/pathgw/simulation/cluster/SimulatedProxy.java
+++ b/src/main/java/pathgw/simulation/cluster/SimulatedProxy.java
@@ -79,7 +79,7 @@
     return host(number) + ":" + GOSSIP_PORT;
   }
 
-  /** The host of a proxy; it tells the proxy's number to {@link #nameOfHost}. */
+  /** The host of a proxy, from which {@link #nameOfHost} finds its name again. */
   static String host(int number) {
     int subnet = FIRST_SUBNET + number / PROXIES_PER_SUBNET;
     return "10." + subnet + "." + number % PROXIES_PER_SUBNET + ".1";
--- a/src/main/java/pathgw/simulation/network/VirtualConnection.java
+++ b/src/main/java/pathgw/simulation/network/VirtualConnection.java
@@ -19,7 +19,7 @@
   /** Bytes that the two machines buffer for a reader that does not read. */
   private static final int WINDOW_BYTES = 1 << 18;
 
-  /** From this many unread bytes on the writer is told that the connection is full. */
+  /** From this many unread bytes on, the connection counts as full for its writer. */
   private static final int FULL_BYTES = 1 << 16;
 
   private final VirtualNetwork network;
--- a/src/main/java/pathgw/simulation/scenario/Fault.java
+++ b/src/main/java/pathgw/simulation/scenario/Fault.java
@@ -149,7 +149,7 @@
           return kind;
         }
       }
-      throw new IllegalArgumentException("'" + word + "' is no known trouble");
+      throw new IllegalArgumentException("'" + word + "' is no known fault");
     }
   }
 
@@ -197,7 +197,7 @@
   private static void checkTarget(Kind kind, String scopeWord) {
     String expected = kind.targetWord();
     if (expected == null && scopeWord != null) {
-      throw new IllegalArgumentException("'" + kind.word() + "' befalls no single node or proxy");
+      throw new IllegalArgumentException("'" + kind.word() + "' concerns no single node or proxy");
     }
     if (expected != null && !expected.equals(scopeWord)) {
       throw new IllegalArgumentException("'" + kind.word() + "' needs '" + expected + " N'");
--- a/src/test/java/pathgw/cli/CliTest.java
+++ b/src/test/java/pathgw/cli/CliTest.java
@@ -12,30 +12,30 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What a shell sees of the commands: exit codes and last lines. */
+/** What a shell sees of the commands: exit statuses and output. */
 class CliTest {
-  private String said;
+  private String output;
 
   private int run(String... args) {
-    PrintStream out = System.out;
-    PrintStream err = System.err;
-    ByteArrayOutputStream told = new ByteArrayOutputStream();
-    PrintStream both = new PrintStream(told, true, StandardCharsets.UTF_8);
+    PrintStream originalOut = System.out;
+    PrintStream originalErr = System.err;
+    ByteArrayOutputStream captured = new ByteArrayOutputStream();
+    PrintStream both = new PrintStream(captured, true, StandardCharsets.UTF_8);
     System.setOut(both);
     System.setErr(both);
     try {
       return Cli.run(args);
     } finally {
-      System.setOut(out);
-      System.setErr(err);
-      said = told.toString(StandardCharsets.UTF_8);
+      System.setOut(originalOut);
+      System.setErr(originalErr);
+      output = captured.toString(StandardCharsets.UTF_8);
     }
   }
 
   @Test
-  void badUseIsTwoAndSaysWhatIsWrong() {
+  void invalidUseExitsWithTwoAndNamesTheError() {
     assertEquals(2, run("simulate", "--seeds", "9-1"));
-    assertTrue(said.contains("--seeds is '9-1', not a range like 0-9999"), said);
+    assertTrue(output.contains("--seeds is '9-1', not a range like 0-9999"), output);
     assertEquals(2, run("simulate"));
     assertEquals(2, run("simulate", "--seeds", "0-1", "--jobs", "0"));
     assertEquals(2, run("simulate", "--seed", "1", "--seeds", "0-1"));
@@ -43,27 +43,28 @@
   }
 
   @Test
-  void seedsEndWithOneLineForMachines() {
+  void seedRangeEndsWithMachineReadableLine() {
     assertEquals(0, run("simulate", "--seeds", "3-4", "--jobs", "2", "--counts"));
     assertTrue(
-        said.trim().matches("(?s).*\n2 seeds, 0 failed, [0-9.]+ s, digest [0-9a-f]{16}"), said);
+        output.trim().matches("(?s).*\n2 seeds, 0 failed, [0-9.]+ s, digest [0-9a-f]{16}"), output);
   }
 
   @Test
-  void aScriptIsPlayedAndABrokenRuleIsOne(@TempDir Path dir) throws IOException {
+  void scenarioFileIsPlayedAndViolationExitsWithOne(@TempDir Path dir) throws IOException {
     Path kept = Files.writeString(dir.resolve("kept.txt"), "lasts 1000ms\n");
     assertEquals(0, run("simulate", "--script", kept.toString(), "--trace"));
-    assertTrue(said.endsWith("all rules kept\n") && said.contains("client asks p0"), said);
-    // Ten times what all nodes bear, for good: the service that is asked for cannot come back.
+    assertTrue(output.endsWith("all rules kept\n") && output.contains("client asks p0"), output);
+    // Ten times what all nodes can serve, for good: service cannot recover.
     Path broken =
         Files.writeString(
             dir.resolve("broken.txt"), "lasts 11000ms\nrate 20/s\nat 1000ms burst by 30\n");
     assertEquals(1, run("simulate", "--script", broken.toString()));
-    assertTrue(said.contains("rule 5 broken at "), said);
+    assertTrue(output.contains("rule 5 broken at "), output);
     Path wrong = Files.writeString(dir.resolve("wrong.txt"), "seed 1\nrate fast\n");
     assertEquals(2, run("simulate", "--script", wrong.toString()));
-    assertTrue(said.contains("wrong.txt: line 2: 'rate' needs a number with its unit, /s"), said);
+    assertTrue(
+        output.contains("wrong.txt: line 2: 'rate' needs a number with its unit, /s"), output);
     assertEquals(2, run("simulate", "--script", dir.resolve("none.txt").toString()));
-    assertTrue(said.contains("none.txt: cannot be read"), said);
+    assertTrue(output.contains("none.txt: cannot be read"), output);
   }
 }
--- a/src/test/java/pathgw/simulation/MutatedTransport.java
+++ b/src/test/java/pathgw/simulation/MutatedTransport.java
@@ -9,131 +9,68 @@
 import pathgw.transport.Connection;
 import pathgw.transport.Transport;
 
-/** A proxy's world that a test changes here and there; all else passes through. */
+/** Forwards every call to a proxy's transport; a test replaces some of the connections. */
 class MutatedTransport implements Transport {
-  final Transport honest;
+  final Transport original;
 
-  MutatedTransport(Transport honest) {
-    this.honest = honest;
+  MutatedTransport(Transport original) {
+    this.original = original;
   }
 
-  /** A connection that the proxy opened. */
-  Connection dialled(Connection connection, Address to) {
+  /** Replaces a connection that the proxy opened. */
+  Connection opened(Connection connection, Address target) {
     return connection;
   }
 
-  /** A connection that came to the proxy. */
-  Connection arrived(Connection connection) {
+  /** Replaces a connection that the proxy accepted. */
+  Connection accepted(Connection connection) {
     return connection;
   }
 
-  static boolean toList(Address to) {
-    return to.host().startsWith("10.2.");
+  static boolean isDiscovery(Address target) {
+    return target.host().startsWith("10.2.");
   }
 
-  static boolean toNodes(Address to) {
-    return to.host().startsWith("10.1.") || to.host().startsWith("10.3.");
+  static boolean isNodeOrOrigin(Address target) {
+    return target.host().startsWith("10.1.") || isOrigin(target);
   }
 
-  static boolean toOrigin(Address to) {
-    return to.host().startsWith("10.3.");
+  static boolean isOrigin(Address target) {
+    return target.host().startsWith("10.3.");
   }
 
-  static boolean fromClients(Connection connection) {
+  static boolean isFromClient(Connection connection) {
     return connection.there().host().startsWith("10.4.");
   }
 
   @Override
   public long nanos() {
-    return honest.nanos();
+    return original.nanos();
   }
 
   @Override
   public long unixMillis() {
-    return honest.unixMillis();
+    return original.unixMillis();
   }
 
   @Override
-  public Runnable after(Duration span, Runnable what) {
-    return honest.after(span, what);
+  public Runnable after(Duration delay, Runnable action) {
+    return original.after(delay, action);
   }
 
   @Override
-  public Future<Connection> dial(Address to, Duration within) {
-    return honest.dial(to, within).map(connection -> dialled(connection, to));
+  public Future<Connection> dial(Address target, Duration timeout) {
+    return original.dial(target, timeout).map(connection -> opened(connection, target));
   }
 
   @Override
-  public Future<Integer> listen(Address at, Consumer<Connection> taken) {
-    return honest.listen(at, connection -> taken.accept(arrived(connection)));
+  public Future<Integer> listen(Address address, Consumer<Connection> acceptor) {
+    return original.listen(address, connection -> acceptor.accept(accepted(connection)));
   }
 
   @Override
-  public BiConsumer<Buffer, Address> datagrams(Address at, BiConsumer<Buffer, Address> heard) {
-    return honest.datagrams(at, heard);
-  }
-
-  /** One connection; all passes through but what a test overrides. */
-  static class Through implements Connection {
-    final Connection honest;
-
-    Through(Connection honest) {
-      this.honest = honest;
-    }
-
-    @Override
-    public void onData(Consumer<Buffer> came) {
-      honest.onData(came);
-    }
-
-    @Override
-    public void onClose(Consumer<CloseReason> over) {
-      honest.onClose(over);
-    }
-
-    @Override
-    public void onWritable(Runnable room) {
-      honest.onWritable(room);
-    }
-
-    @Override
-    public Future<Void> write(Buffer bytes) {
-      return honest.write(bytes);
-    }
-
-    @Override
-    public boolean full() {
-      return honest.full();
-    }
-
-    @Override
-    public void pause() {
-      honest.pause();
-    }
-
-    @Override
-    public void resume() {
-      honest.resume();
-    }
-
-    @Override
-    public void close() {
-      honest.close();
-    }
-
-    @Override
-    public void shutdownOutput() {
-      honest.shutdownOutput();
-    }
-
-    @Override
-    public Address here() {
-      return honest.here();
-    }
-
-    @Override
-    public Address there() {
-      return honest.there();
-    }
+  public BiConsumer<Buffer, Address> datagrams(
+      Address address, BiConsumer<Buffer, Address> handler) {
+    return original.datagrams(address, handler);
   }
 }
--- /dev/null
+++ b/src/test/java/pathgw/simulation/SeededEndpointBugTest.java
@@ -0,0 +1,157 @@
+package pathgw.simulation;
+
+import static pathgw.simulation.SeededBugs.assertDetected;
+import static pathgw.simulation.SeededBugs.openedConnections;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import pathgw.simulation.cluster.Mutation;
+import pathgw.simulation.scenario.Fault;
+import pathgw.simulation.scenario.Scenario;
+import pathgw.simulation.scenario.ScenarioGenerator;
+
+/** Bugs in how a proxy follows the endpoint list: each makes it use a node that is leaving. */
+class SeededEndpointBugTest {
+  private static final int RULE = 3;
+  private static final String KIND = "drain";
+
+  @Test
+  void lateDrainNotificationIsDetected() {
+    assertDetected(
+        RULE,
+        KIND,
+        openedConnections(
+            MutatedTransport::isDiscovery,
+            (transport, connection) ->
+                new ForwardingConnection(connection) {
+                  @Override
+                  public void onData(Consumer<Buffer> handler) {
+                    delegate.onData(
+                        bytes ->
+                            transport.after(Duration.ofMillis(1200), () -> handler.accept(bytes)));
+                  }
+                }));
+  }
+
+  /** Empty lines of its own making keep a proxy from seeing that its watch has fallen silent. */
+  private static Mutation missesSilentWatches() {
+    return openedConnections(
+        MutatedTransport::isDiscovery,
+        (transport, connection) ->
+            new ForwardingConnection(connection) {
+              @Override
+              public void onData(Consumer<Buffer> handler) {
+                delegate.onData(handler);
+                repeat(() -> handler.accept(Buffer.buffer("1\r\n\n\r\n")));
+              }
+
+              private void repeat(Runnable emptyLine) {
+                transport.after(
+                    Duration.ofSeconds(2),
+                    () -> {
+                      emptyLine.run();
+                      repeat(emptyLine);
+                    });
+              }
+            });
+  }
+
+  @Test
+  void silentWatchMistakenForOpenOneIsDetected() {
+    assertDetected(
+        RULE,
+        KIND,
+        missesSilentWatches(),
+        0,
+        seed -> {
+          Scenario drawn = ScenarioGenerator.scenario(seed);
+          List<Fault> faults = new ArrayList<>(drawn.faults());
+          faults.add(new Fault(2000, 0, Fault.Kind.LIST_SILENT, Fault.NO_TARGET, 1));
+          faults.add(new Fault(4000, 0, Fault.Kind.DRAINS, (int) seed, 0));
+          return drawn.withFaults(faults);
+        });
+  }
+
+  /** A rejected call is taken for a list in which nothing has changed. */
+  private static Mutation takesRejectionForEmptyList() {
+    String emptyList = "{\"seq\":0,\"whole\":false,\"hosts\":[]}\n";
+    Buffer emptyResponse =
+        Buffer.buffer(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(emptyList.length())
+                + "\r\n"
+                + emptyList
+                + "\r\n");
+    return openedConnections(
+        MutatedTransport::isDiscovery,
+        (transport, connection) ->
+            new ForwardingConnection(connection) {
+              @Override
+              public void onData(Consumer<Buffer> handler) {
+                delegate.onData(
+                    bytes -> {
+                      boolean rejected = bytes.toString().startsWith("HTTP/1.1 503");
+                      handler.accept(rejected ? emptyResponse.copy() : bytes);
+                    });
+              }
+            });
+  }
+
+  /** All watches are silent, and discovery cannot serve the polls of all proxies in time. */
+  @Test
+  void rejectedPollMistakenForNotificationIsDetected() {
+    assertDetected(
+        RULE,
+        KIND,
+        takesRejectionForEmptyList(),
+        1,
+        seed ->
+            Scenario.parse(
+                "seed "
+                    + seed
+                    + "\nproxies 20\nnodes 8\nrate 100/s\ncalls 2/s\nlasts 16000ms\n"
+                    + "at 9000ms list-silent by 1\nat 9600ms list-drains by 0.25"));
+  }
+
+  /** Most calls fail, and the proxy keeps its lease on the list as if they had succeeded. */
+  @Test
+  void failedPollMistakenForEndpointListIsDetected() {
+    assertDetected(
+        RULE,
+        KIND,
+        takesRejectionForEmptyList(),
+        1,
+        seed ->
+            Scenario.parse(
+                "seed "
+                    + seed
+                    + "\nproxies 3\nnodes 8\nrate 60/s\nlasts 16000ms\n"
+                    + "at 3000ms for 9000ms list-refuses by 1\n"
+                    + "at 3100ms list-ends\nat 3300ms list-drains by 0.25"));
+  }
+
+  @Test
+  void attemptAtRemovedNodeIsDetected() {
+    assertDetected(
+        RULE,
+        KIND,
+        openedConnections(
+            MutatedTransport::isDiscovery,
+            (transport, connection) ->
+                new ForwardingConnection(connection) {
+                  @Override
+                  public void onData(Consumer<Buffer> handler) {
+                    delegate.onData(
+                        bytes -> {
+                          if (!bytes.toString().contains("\"gone\"")) {
+                            handler.accept(bytes);
+                          }
+                        });
+                  }
+                }));
+  }
+}
--- a/src/test/java/pathgw/simulation/SimulationTest.java
+++ b/src/test/java/pathgw/simulation/SimulationTest.java
@@ -19,68 +19,67 @@
 import pathgw.simulation.scenario.Scenario;
 import pathgw.simulation.scenario.ScenarioGenerator;
 
-/** The unchanged proxy under troubles from seeds, and under every script that once broke a rule. */
+/** The unchanged proxy under seeded faults, and in every scenario that once violated a rule. */
 class SimulationTest {
-  private static final int SEEDS = 300;
-  private static final int FLEETS = 12;
+  private static final int SEED_COUNT = 300;
+  private static final int FLEET_COUNT = 12;
 
   @Test
-  void theSeedsOfTheBuildKeepEveryRule() throws InterruptedException {
-    SeedRange.Result sum = SeedRange.play(0, SEEDS - 1, 4, true, SeedRange.ProgressListener.NONE);
-    assertEquals(List.of(), sum.failures());
+  void seedsOfTheBuildViolateNoRule() throws InterruptedException {
+    SeedRange.Result result =
+        SeedRange.play(0, SEED_COUNT - 1, 4, true, SeedRange.ProgressListener.NONE);
+    assertEquals(List.of(), result.failures());
     for (Fault.Kind kind : Arrays.asList(Fault.Kind.values()).subList(0, Fault.Kind.ANY_FLEET)) {
-      assertTrue(sum.counts().containsKey("fault " + kind.word()), kind + " never came");
+      assertTrue(result.counts().containsKey("fault " + kind.word()), kind + " never came");
     }
   }
 
-  /**
-   * Some 80 proxies and 140 nodes each, of which much goes at once; the sums are over all proxies.
-   */
+  /** Some 80 proxies and 140 nodes each; the discovery calls are the sum over all proxies. */
   @Test
-  void largeFleetsKeepEveryRuleAndDoNotAddUpToAHerd() throws InterruptedException {
-    SeedRange.Result sum =
-        SeedRange.playFleets(0, FLEETS - 1, 4, false, SeedRange.ProgressListener.NONE);
-    assertEquals(List.of(), sum.failures());
+  void largeFleetsViolateNoRuleAndDoNotOverloadDiscovery() throws InterruptedException {
+    SeedRange.Result result =
+        SeedRange.playFleets(0, FLEET_COUNT - 1, 4, false, SeedRange.ProgressListener.NONE);
+    assertEquals(List.of(), result.failures());
     for (String kind :
         List.of(
             "restart", "zone-lost", "zone-silent", "deploy", "greed", "list-silent", "list-down")) {
-      assertTrue(sum.counts().containsKey("fault " + kind), kind + " never came");
+      assertTrue(result.counts().containsKey("fault " + kind), kind + " never came");
     }
     long proxies = 0;
-    for (long seed = 0; seed < FLEETS; seed++) {
+    for (long seed = 0; seed < FLEET_COUNT; seed++) {
       proxies += ScenarioGenerator.fleet(seed).proxies();
     }
-    long calls = sum.counts().get("fleet discovery calls");
-    assertTrue(calls <= 5 * proxies, calls + " calls of " + proxies + " proxies");
-    assertTrue(sum.counts().get("fleet attempts to cold nodes") > 0);
+    long discoveryCalls = result.counts().get("fleet discovery calls");
+    assertTrue(discoveryCalls <= 5 * proxies, discoveryCalls + " calls of " + proxies + " proxies");
+    assertTrue(result.counts().get("fleet attempts to cold nodes") > 0);
   }
 
   @Test
-  void scriptsThatOnceBrokeARuleKeepItNow() throws IOException {
-    List<Path> scripts;
-    try (Stream<Path> files = Files.list(Path.of("src/test/resources/scripts"))) {
-      scripts = files.sorted().toList();
+  void keptScenariosViolateNoRule() throws IOException {
+    List<Path> files;
+    try (Stream<Path> found = Files.list(Path.of("src/test/resources/scripts"))) {
+      files = found.sorted().toList();
     }
-    assertTrue(scripts.size() >= 4);
-    for (Path scenario : scripts) {
+    assertTrue(files.size() >= 4);
+    for (Path file : files) {
       assertEquals(
           null,
-          ScenarioRun.play(Scenario.parse(Files.readString(scenario)), Mutation.NONE, null)
-              .violation(),
-          scenario.toString());
+          ScenarioRun.play(Scenario.parse(Files.readString(file)), Mutation.NONE, null).violation(),
+          file.toString());
     }
   }
 
   @Test
-  void theSameSeedIsTheSameRunHoweverManyThreads() throws InterruptedException {
-    long alone = SeedRange.play(40, 59, 1, false, SeedRange.ProgressListener.NONE).digest();
-    assertEquals(alone, SeedRange.play(40, 59, 8, false, SeedRange.ProgressListener.NONE).digest());
+  void digestDoesNotDependOnThreadCount() throws InterruptedException {
+    long digest = SeedRange.play(40, 59, 1, false, SeedRange.ProgressListener.NONE).digest();
+    assertEquals(
+        digest, SeedRange.play(40, 59, 8, false, SeedRange.ProgressListener.NONE).digest());
     assertNotEquals(
-        alone, SeedRange.play(41, 60, 8, false, SeedRange.ProgressListener.NONE).digest());
+        digest, SeedRange.play(41, 60, 8, false, SeedRange.ProgressListener.NONE).digest());
   }
 
   @Test
-  void aTraceChangesNothingAndTellsAll() {
+  void tracingDoesNotChangeTheRun() {
     List<String> lines = new ArrayList<>();
     Scenario scenario = ScenarioGenerator.scenario(7);
     RunResult traced = ScenarioRun.play(scenario, Mutation.NONE, lines::add);
@@ -89,7 +88,7 @@
   }
 
   @Test
-  void aScriptIsReadAsItIsWritten() {
+  void scenarioTextRoundTrips() {
     for (long seed = 0; seed < 500; seed++) {
       Scenario scenario = ScenarioGenerator.scenario(seed);
       assertEquals(scenario, Scenario.parse(scenario.toString()), scenario.toString());
@@ -98,7 +97,7 @@
   }
 
   @Test
-  void aScriptThatCannotBeReadIsNamedByItsLine() {
+  void parseErrorNamesTheLine() {
     for (String[] bad :
         new String[][] {
           {"seed 1\nrate 40", "line 2: 'rate' needs a number with its unit, /s"},
@@ -109,7 +108,7 @@
           {"at 1ms slow proxy 3 by 2", "line 1: 'slow' needs 'node N'"},
           {"at 1ms list-ends by 3", "line 1: 'list-ends' has no measure"},
           {"at 1s dies node 3", "line 1: not of the form 'at 100ms for 2000ms slow node 3 by 4'"},
-          {"at 1ms explodes", "line 1: 'explodes' is no known trouble"}
+          {"at 1ms explodes", "line 1: 'explodes' is no known fault"}
         }) {
       assertEquals(
           bad[1],
