--- a/src/test/java/pathgw/server/ProcessIT.java
+++ b/src/test/java/pathgw/server/ProcessIT.java
@@ -57,17 +57,7 @@
 
   private void sendEndpointList(Peer peer) {
     try {
-      peer.readLine();
-      String line =
-          "{\"seq\":1,\"whole\":true,\"hosts\":["
-              + SocketFixture.entry("n1", node.port(), "std")
-              + "]}\n";
-      peer.send(
-          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-              + Integer.toHexString(line.length())
-              + "\r\n"
-              + line
-              + "\r\n");
+      SocketFixture.sendEndpointList(peer, SocketFixture.entry("n1", node.port(), "std"));
     } catch (IOException e) {
       // The proxy has closed the call.
     }
--- a/src/test/java/pathgw/server/SocketFixture.java
+++ b/src/test/java/pathgw/server/SocketFixture.java
@@ -157,24 +157,24 @@
 
   private void sendEndpointList(Peer peer) {
     try {
-      peer.readLine();
-      String line =
-          "{\"seq\":1,\"whole\":true,\"hosts\":["
-              + entry("n1", node.port(), "std")
-              + ","
-              + entry("o", origin.port(), "origin")
-              + "]}\n";
-      peer.send(
-          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-              + Integer.toHexString(line.length())
-              + "\r\n"
-              + line
-              + "\r\n");
+      sendEndpointList(peer, entry("n1", node.port(), "std"), entry("o", origin.port(), "origin"));
     } catch (IOException e) {
       throw new AssertionError(e);
     }
   }
 
+  /** Answers a call for the endpoint list, whose response stays open as a watch. */
+  static void sendEndpointList(Peer peer, String... entries) throws IOException {
+    peer.readLine();
+    String list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + String.join(",", entries) + "]}\n";
+    peer.send(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(list.length())
+            + "\r\n"
+            + list
+            + "\r\n");
+  }
+
   Peer client() throws IOException {
     return new Peer(new Socket("127.0.0.1", port));
   }
--- a/src/test/java/pathgw/server/SocketRaceTest.java
+++ b/src/test/java/pathgw/server/SocketRaceTest.java
@@ -27,6 +27,7 @@
 @Timeout(30)
 class SocketRaceTest {
   private static final String ORIGIN = "HTTP/1.1 200 OK\r\n";
+  private static final int LARGE_WRITE_BYTES = 32 << 20;
 
   // Clients that close their connection.
 
@@ -203,78 +204,76 @@
 
   // Attempts that are cancelled.
 
+  /** Dials a server, writes more than the kernel buffers, and closes at once. */
+  private static Future<Connection.CloseReason> writeAndClose(SocketFixture fixture, int port) {
+    VertxTransport transport = new VertxTransport(fixture.vertx);
+    Promise<Connection.CloseReason> closed = Promise.promise();
+    fixture.loop.runOnContext(
+        now ->
+            transport
+                .dial(new Address("127.0.0.1", port), Duration.ofSeconds(2))
+                .onSuccess(
+                    connection -> {
+                      connection.onClose(closed::complete);
+                      connection.write(Buffer.buffer(new byte[LARGE_WRITE_BYTES]));
+                      connection.close();
+                    }));
+    return closed.future();
+  }
+
   /**
    * A write that was not sent completely may be retried elsewhere, so the remainder must not
    * follow.
    */
   @Test
   void closeDiscardsUnsentBytes() throws Exception {
-    try (SocketFixture.FakeServer door = new SocketFixture.FakeServer(peer -> {});
+    try (SocketFixture.FakeServer server = new SocketFixture.FakeServer(peer -> {});
         SocketFixture fixture = new SocketFixture()) {
-      int size = 32 << 20;
-      VertxTransport transport = new VertxTransport(fixture.vertx);
-      Promise<Connection.CloseReason> over = Promise.promise();
-      fixture.loop.runOnContext(
-          now ->
-              transport
-                  .dial(new Address("127.0.0.1", door.port()), Duration.ofSeconds(2))
-                  .onSuccess(
-                      connection -> {
-                        connection.onClose(over::complete);
-                        connection.write(Buffer.buffer(new byte[size]));
-                        connection.close();
-                      }));
-      Peer peer = door.next();
+      Future<Connection.CloseReason> closed = writeAndClose(fixture, server.port());
+      Peer peer = server.next();
       // Not read before: a peer that reads as fast as this side writes could have received
       // everything.
-      SocketFixture.await(over.future());
-      int got = 0;
+      SocketFixture.await(closed);
+      int receivedBytes = 0;
       byte[] some = new byte[1 << 16];
       try {
         int n;
         while ((n = peer.socket.getInputStream().read(some)) >= 0) {
-          got += n;
+          receivedBytes += n;
         }
       } catch (SocketException reset) {
         // Equivalent to an end of the stream.
       }
-      assertTrue(got < size, got + " of " + size);
+      assertTrue(receivedBytes < LARGE_WRITE_BYTES, receivedBytes + " of " + LARGE_WRITE_BYTES);
     }
   }
 
   /** A peer that reads nothing must not hold its descriptor forever. */
   @Test
   void closeDoesNotWaitForPeerThatReadsNothing() throws Exception {
-    try (SocketFixture.FakeServer door = new SocketFixture.FakeServer(peer -> {});
+    try (SocketFixture.FakeServer server = new SocketFixture.FakeServer(peer -> {});
         SocketFixture fixture = new SocketFixture()) {
-      VertxTransport transport = new VertxTransport(fixture.vertx);
-      Promise<Connection.CloseReason> over = Promise.promise();
-      fixture.loop.runOnContext(
-          now ->
-              transport
-                  .dial(new Address("127.0.0.1", door.port()), Duration.ofSeconds(2))
-                  .onSuccess(
-                      connection -> {
-                        connection.onClose(over::complete);
-                        connection.write(Buffer.buffer(new byte[32 << 20]));
-                        connection.close();
-                      }));
-      door.next();
-      assertEquals(Connection.CloseReason.BROKEN, SocketFixture.await(over.future()));
+      Future<Connection.CloseReason> closed = writeAndClose(fixture, server.port());
+      server.next();
+      assertEquals(Connection.CloseReason.BROKEN, SocketFixture.await(closed));
     }
   }
 
   // Responses that are truncated or late.
 
+  private static void skipHead(Peer origin) throws Exception {
+    while (!origin.readLine().equals("\r\n")) {
+      // Skip the head.
+    }
+  }
+
   /** Sends a read that is a miss at the node, and gives the origin's end of its fetch. */
   private static Peer awaitAtOrigin(SocketFixture fixture, Peer client, String id)
       throws Exception {
     Peer at = fixture.sendAndAwaitAtNode(client, id);
     at.send("EN O" + id + "\r\n");
     Peer origin = fixture.origin.next();
-    while (!origin.readLine().equals("\r\n")) {
-      // Skip the head.
-    }
+    skipHead(origin);
     return origin;
   }
 
@@ -290,9 +289,7 @@
             origin.reset();
           });
       Peer again = fixture.origin.next();
-      while (!again.readLine().equals("\r\n")) {
-        // Skip the head.
-      }
+      skipHead(again);
       again.send(ORIGIN + "\r\nwhole");
       again.socket.close();
       assertTrue(client.readLine().startsWith("VA 5 "));
@@ -314,9 +311,7 @@
       Peer other = fixture.client();
       other.send(SocketFixture.write(next));
       Peer second = fixture.origin.next();
-      while (!second.readLine().equals("\r\n")) {
-        // Skip the head.
-      }
+      skipHead(second);
       origin.send(ORIGIN + "Content-Length: 3\r\n\r\none");
       second.send(ORIGIN + "Content-Length: 3\r\n\r\ntwo");
       assertEquals("HD O" + next + " ctwo\r\n", other.readLine());
