--- a/src/main/java/pathgw/decision/DecisionSink.java
+++ b/src/main/java/pathgw/decision/DecisionSink.java
@@ -2,33 +2,41 @@
 
 import java.time.Duration;
 
-/** What a decision of {@link DecisionEngine} becomes; a front carries each call out at once. */
+/** Carries out the decisions of {@link DecisionEngine}, each call at once. */
 public interface DecisionSink {
   /**
-   * Attempts of a request are numbered 0, 1, 2 ... in the order of these calls.
+   * Sends an attempt. Attempts of a request are numbered 0, 1, 2 ... in the order of these calls.
    *
-   * @param sendWithin not written by then it must not be written at all, and counts as never sent
+   * @param timeout the time until the request's deadline
+   * @param sendWithin the time in which it may be written; after that it must not be sent, and ends
+   *     as {@link AttemptOutcome#NOT_SENT}
    */
-  void attempt(long request, Duration patience, Duration sendWithin, long node);
+  void attempt(long request, Duration timeout, Duration sendWithin, long node);
 
+  /** Cancels an attempt in flight. */
   void cancel(long request, int attempt);
 
-  /** Final: the client may safely try again, after {@code retryAfter} where that is not zero. */
+  /**
+   * The final response: the request had no effect that a retry would repeat. The client may try
+   * again, after {@code retryAfter} where that is not zero.
+   */
   void reject(long request, Duration retryAfter);
 
-  /** Final: promises nothing about the effect. */
+  /** The final response: it is not known whether the request had an effect. */
   void fail(long request);
 
-  /** Asks for one {@link DecisionEngine#timer()} call; earlier ones still come. */
+  /** Asks for a call of {@link DecisionEngine#decide} in that time; earlier ones still come. */
   void wake(Duration in);
 
-  /** Tells every other proxy how an attempt to a node went; may be lost. */
+  /** Reports the outcome of an attempt to all other proxies; the report may be lost. */
   void gossip(long node, boolean success);
 
-  /** Closes what connections to a node stand idle; what is out on others goes on. */
+  /** Closes the idle connections to a node; those in use stay open. */
   void closeIdle(long node);
 
+  /** Watches the endpoint list. */
   void watchEndpoints();
 
+  /** Polls the endpoint list once. */
   void pollEndpoints();
 }
--- a/src/main/java/pathgw/decision/Settings.java
+++ b/src/main/java/pathgw/decision/Settings.java
@@ -4,20 +4,30 @@
 import java.util.List;
 
 /**
- * The settings that {@link DecisionEngine} reads, decoded once by the front.
+ * The settings of {@link DecisionEngine}.
  *
- * @param proxies how many proxies share the work, this one included
- * @param through cache nodes fetch what they lack themselves; otherwise a miss comes back to the
- *     proxy
- * @param originKind the machine kind of the origin in the endpoint list, or -1
- * @param maxRetryAfter the longest wait a rejection may ask for; zero where clients are not told
- * @param endpointListOnRequest whether the endpoint list comes only when watched or fetched
- * @param pollInterval how long a list may be used unasked before its changes count as known
- * @param quotas for each tenant, requests a second over all proxies within its share
- * @param openPrice what 100 connections left open at each cache node cost of the service, all of
- *     which is 1
- * @param handshakePrice what a new connection for each request costs of it
- * @param ordered whether answers on one connection come in the order of its requests
+ * @param proxies the number of proxies that share the load, this one included
+ * @param through read-through: cache nodes fetch what they lack themselves; otherwise (look-aside)
+ *     a miss comes back to the proxy
+ * @param originKind the machine kind of the origin in the endpoint list, or -1 if there is none
+ * @param requestClasses the request classes, by their index
+ * @param quotas each tenant's quota in requests a second over all proxies, by its index
+ * @param maxAttempts the most attempts of one request
+ * @param mayHedge whether a request may have several attempts in flight
+ * @param mayCancel whether attempts in flight can be cancelled
+ * @param mayGossip whether proxies report outcomes to each other
+ * @param maxRetryAfter the Retry-After of a rejection; zero where clients do not read it
+ * @param endpointListOnRequest whether the endpoint list comes only when watched or polled
+ * @param pollInterval how long the endpoint list may be used without a call
+ * @param step the resolution of time
+ * @param coldFrom the fraction of its load that a node can bear just after its start
+ * @param coldFor how long a node warms up
+ * @param tipMultiple how many times its warm load overloads a node
+ * @param fallFor the time over which such a load must last
+ * @param openPrice what 100 connections left open at each cache node cost, as a fraction of all
+ *     capacity
+ * @param handshakePrice what a new connection for each request costs, as such a fraction
+ * @param ordered whether responses on one connection come in the order of its requests
  */
 public record Settings(
     int proxies,
@@ -43,12 +53,15 @@
 
   /** How far a request may be repeated. */
   public enum Effect {
+    /** Freely. */
     IDEMPOTENT,
+    /** Where and as long as its idempotency key is remembered. */
     IDEMPOTENCY_KEYED,
+    /** Never, once it may have run. */
     AT_MOST_ONCE
   }
 
-  /** Which cache nodes drop the repeats of an idempotency-keyed request. */
+  /** Which cache nodes share their memory of idempotency keys. */
   public enum Group {
     ALL,
     ZONE,
@@ -58,7 +71,12 @@
   /**
    * One class of requests.
    *
-   * @param memory how long the group remembers an idempotency-keyed request
+   * @param effect how far its requests may be repeated
+   * @param group which nodes deduplicate its keyed requests
+   * @param memory how long they remember a key
+   * @param latencyObjective the latency within which a response has its whole worth
+   * @param deadline the time from a client's first try to the deadline
+   * @param priorityWeight what a response within the objective is worth
    * @param lateWeight the share of the priority weight left after the latency objective
    */
   public record RequestClass(
--- /dev/null
+++ b/src/test/java/pathgw/decision/AttemptRulesTest.java
@@ -0,0 +1,151 @@
+package pathgw.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static pathgw.decision.DecisionEngineFixture.START;
+import static pathgw.decision.DecisionEngineFixture.ms;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pathgw.decision.Settings.Effect;
+import pathgw.decision.Settings.Group;
+
+/** What every attempt keeps, whichever mechanism asks for it. */
+class AttemptRulesTest {
+  @Test
+  void atMostOnceRequestIsNeitherRetriedNorRejectedOnceItMayHaveRun() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.readThrough(Effect.AT_MOST_ONCE)
+            .withEndpoints(1, 2)
+            .requestArrived(1, 8)
+            .decideAll();
+    fixture.attemptEnded(1, 0, AttemptOutcome.TIMED_OUT).decideAll();
+    assertEquals(1, fixture.count("attempt"));
+    assertEquals(0, fixture.count("reject"));
+    assertEquals(1, fixture.count("fail"));
+  }
+
+  @Test
+  void atMostOnceRequestIsRetriedAfterConnectFailure() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.readThrough(Effect.AT_MOST_ONCE)
+            .withEndpoints(1, 2)
+            .requestArrived(1, 8)
+            .decideAll();
+    fixture.attemptEnded(1, 0, AttemptOutcome.CONNECT_FAILED).decideAll();
+    assertEquals(2, fixture.attemptedNodes.stream().distinct().count());
+  }
+
+  @Test
+  void keyedRequestIsNotRetriedAfterDedupWindow() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.readThrough(Effect.IDEMPOTENCY_KEYED)
+            .withEndpoints(1, 2)
+            .requestArrived(1, 8)
+            .decideAll();
+    fixture.at(390).attemptEnded(1, 0, AttemptOutcome.CONNECTION_LOST).decideAll();
+    assertEquals(1, fixture.count("attempt"));
+    assertEquals(1, fixture.count("reject"));
+  }
+
+  @Test
+  void keyedRequestIsNeitherRetriedNorRejectedOutsideItsDedupGroup() {
+    DecisionEngineFixture fixture =
+        new DecisionEngineFixture(true, Effect.IDEMPOTENCY_KEYED, Group.ZONE, List.of())
+            .withEndpoints(1, 2)
+            .requestArrived(1, 8)
+            .decideAll();
+    fixture.at(10).attemptEnded(1, 0, AttemptOutcome.CONNECTION_LOST).decideAll();
+    assertEquals(1, fixture.count("attempt"));
+    assertEquals(1, fixture.count("fail"));
+  }
+
+  @Test
+  void drainingNodeGetsNoNewAttempt() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.readThrough(Effect.IDEMPOTENT)
+            .withEndpoints(1)
+            .withEndpointUpdate(1, EndpointState.DRAINING, null);
+    fixture.requestArrived(1, 8).decideAll();
+    assertEquals(0, fixture.count("attempt"));
+    assertEquals(1, fixture.count("reject"));
+  }
+
+  /** A silent watch once hid that nodes were draining: 15 of 76,571 requests went to them. */
+  @Test
+  void cacheNodesGetNoAttemptWhileEndpointLeaseHasExpired() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.oneOf(1, false, 7, List.of()).withEndpoints(0, 1, 2);
+    fixture.engine.leaseEndpointsUntil(ms(6000));
+    fixture.at(5900).requestArrived(1, 0, 8, 6900, false);
+    fixture.decideAll();
+    assertNotEquals(0L, fixture.attemptedNodes.get(0));
+    assertEquals(
+        ms(100),
+        fixture.sendTimeLimits.get(0),
+        "an attempt that waits is not written after the lease");
+    fixture.at(6000).requestArrived(2, 0, 9, 7000, false);
+    fixture.decideAll();
+    assertEquals(List.of(0L), fixture.attemptedNodes.subList(1, 2), "the origin needs no lease");
+    fixture.engine.leaseEndpointsUntil(ms(12_000));
+    fixture.requestArrived(3, 0, 8, 7000, false);
+    fixture.decideAll();
+    assertEquals(
+        fixture.attemptedNodes.get(0),
+        fixture.attemptedNodes.get(2),
+        "cache nodes are used again at once");
+  }
+
+  @Test
+  void requestsAreRejectedOrFetchedAtOnceWithoutEndpointLease() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.oneOf(1, false, 7, List.of()).withEndpoints(1, 2);
+    fixture.engine.leaseEndpointsUntil(START);
+    fixture.requestArrived(1, 8).requestArrived(2, 8).decideAll();
+    assertEquals(List.of("reject 1", "reject 2"), fixture.actions);
+    DecisionEngineFixture waits =
+        DecisionEngineFixture.oneOf(1, false, 7, List.of()).withEndpoints(0, 1, 2);
+    waits.engine.leaseEndpointsUntil(START);
+    waits
+        .requestArrived(1, 8)
+        .requestArrived(2, 8)
+        .decideAll()
+        .attemptEnded(1, 0, AttemptOutcome.SERVED)
+        .decideAll();
+    assertEquals(List.of(0L, 0L), waits.attemptedNodes, "a waiter fetches by itself");
+  }
+
+  @Test
+  void everyRequestEndsOnceBeforeItsDeadline() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.readThrough(Effect.IDEMPOTENT)
+            .withEndpoints(1, 2)
+            .requestArrived(1, 8)
+            .decideAll();
+    fixture.at(999).decideAll();
+    fixture.attemptEnded(1, 0, AttemptOutcome.TIMED_OUT).decideAll();
+    assertEquals(1, fixture.count("reject"));
+    assertEquals(1, fixture.count("attempt"));
+  }
+
+  /**
+   * With slow connections, seed 7 once sent a retry after the dedup window of the first attempt.
+   */
+  @Test
+  void retryOfKeyedRequestMustBeWrittenWithinDedupWindow() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.readThrough(Effect.IDEMPOTENCY_KEYED)
+            .withEndpoints(1, 2)
+            .requestArrived(7, 5)
+            .decideAll();
+    fixture.at(100).attemptEnded(7, 0, AttemptOutcome.CONNECTION_LOST).decideAll();
+    assertEquals(List.of(ms(1000), ms(200)), fixture.sendTimeLimits);
+    DecisionEngineFixture free =
+        DecisionEngineFixture.readThrough(Effect.IDEMPOTENT)
+            .withEndpoints(1, 2)
+            .requestArrived(7, 5)
+            .decideAll();
+    free.at(100).attemptEnded(7, 0, AttemptOutcome.CONNECTION_LOST).decideAll();
+    assertEquals(List.of(ms(1000), ms(900)), free.sendTimeLimits);
+  }
+}
--- a/src/test/java/pathgw/decision/ColdStartFleet.java
+++ b/src/test/java/pathgw/decision/ColdStartFleet.java
@@ -1,5 +1,7 @@
 package pathgw.decision;
 
+import static pathgw.decision.DecisionEngineFixture.ms;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -9,10 +11,10 @@
 import pathgw.algorithm.RendezvousHash;
 
 /**
- * A fleet of modules before one cold node, none of which hears of the others. What the node gets
- * from all of them together is held against what pushes it over: more than N + 2 x root of N + 2 in
- * the stated time, N being what the settings allow it at that moment. {@code main} prints the
- * distribution over many seeds.
+ * A fleet of proxies, which do not hear of each other, before one node that warms up. What they
+ * send it together is compared with what overloads it: more than N + 2 sqrt(N) + 2 requests in the
+ * stated time, N being what the settings allow at that moment. {@code main} prints the distribution
+ * over many seeds.
  */
 final class ColdStartFleet {
   private static final long COLD = 1;
@@ -25,82 +27,88 @@
   private static final double MULTIPLE = 3;
 
   /**
-   * @param most of what pushes the node over it had in the worst moment
-   * @param sent to it in all
+   * @param most the worst load, as a part of what overloads the node
+   * @param sent requests that it got in all
    */
-  record Played(double most, int sent) {}
+  record Result(double most, int sent) {}
 
   private ColdStartFleet() {}
 
   /**
-   * Each proxy meets the cold node once at the start, which begins its budget. Then for so long no
-   * key is the cold node's, and whatever may be saved is; after that every key is, at all proxies
-   * in one moment.
+   * Each proxy sends the warming node one request at the start, which begins its budget. Then no
+   * key is the node's for {@code quietMs}, so that budgets may be saved up; after that every key
+   * is, at all proxies at the same moment.
    *
    * @param capacity requests a second that each warm node has here, as many as it can bear
    */
-  static Played play(int proxies, double capacity, boolean even, int quietMs, long seed) {
-    Random chance = new Random(seed);
+  static Result simulate(int proxies, double capacity, boolean even, int quietMs, long seed) {
+    Random random = new Random(seed);
     double[] rates = new double[proxies];
     for (int p = 0; p < proxies; p++) {
-      rates[p] = even ? 1 : 0.2 + 4 * Math.pow(chance.nextDouble(), 3);
-    }
-    double all = Arrays.stream(rates).sum();
-    List<DecisionEngineFixture> beds = new ArrayList<>();
-    for (int p = 0; p < proxies; p++) {
-      DecisionEngineFixture fixture =
-          DecisionEngineFixture.oneOf(proxies, false, chance.nextLong(), List.of());
-      fixture.list(LongStream.rangeClosed(0, NODES).toArray());
-      fixture.change(COLD, EndpointState.READY, Duration.ZERO);
-      beds.add(fixture);
+      rates[p] = even ? 1 : 0.2 + 4 * Math.pow(random.nextDouble(), 3);
     }
-    List<List<long[]>> out = new ArrayList<>();
+    double totalRate = Arrays.stream(rates).sum();
+    List<DecisionEngineFixture> fixtures = startFleet(proxies, random);
+    List<List<long[]>> answersByStep = new ArrayList<>();
     for (int at = 0; at <= COLD_MS / STEP_MS; at++) {
-      out.add(new ArrayList<>());
+      answersByStep.add(new ArrayList<>());
     }
     int[] sent = new int[COLD_MS / STEP_MS + 1];
     long ids = 0;
     for (int step = 0; step * STEP_MS < COLD_MS; step++) {
       int ms = step * STEP_MS;
-      for (DecisionEngineFixture fixture : beds) {
+      for (DecisionEngineFixture fixture : fixtures) {
         fixture.at(ms);
       }
-      for (long[] answered : out.get(step)) {
-        beds.get((int) answered[0]).attemptEnded(answered[1], 0, AttemptOutcome.SERVED, ANSWER_MS);
+      for (long[] answered : answersByStep.get(step)) {
+        fixtures
+            .get((int) answered[0])
+            .attemptEnded(answered[1], 0, AttemptOutcome.SERVED, ANSWER_MS);
       }
       boolean first = step == 0;
-      boolean moment = ms >= quietMs && ms < quietMs + STEP_MS;
+      boolean burst = ms >= quietMs && ms < quietMs + STEP_MS;
       for (int p = 0; p < proxies; p++) {
-        DecisionEngineFixture fixture = beds.get(p);
-        double due = rates[p] / all * capacity * NODES * STEP_MS / 1000;
-        int come =
-            (int) due
-                + (chance.nextDouble() < due % 1 ? 1 : 0)
-                + (moment ? 3 : 0)
+        DecisionEngineFixture fixture = fixtures.get(p);
+        double expected = rates[p] / totalRate * capacity * NODES * STEP_MS / 1000;
+        int arrivals =
+            (int) expected
+                + (random.nextDouble() < expected % 1 ? 1 : 0)
+                + (burst ? 3 : 0)
                 + (first ? 1 : 0);
-        for (int i = 0; i < come; i++) {
+        for (int i = 0; i < arrivals; i++) {
           long id = ++ids;
-          int before = fixture.sentTo.size();
-          fixture.decide.requestArrived(
-              id,
-              0,
-              0,
-              key(chance, first || ms >= quietMs),
-              DecisionEngineFixture.ms(ms + 1000),
-              Duration.ZERO,
-              false,
-              false);
-          fixture.pull();
-          if (fixture.sentTo.size() > before) {
-            sent[step] += fixture.sentTo.get(before) == COLD ? 1 : 0;
-            out.get(Math.min(out.size() - 1, step + ANSWER_MS / STEP_MS)).add(new long[] {p, id});
+          int before = fixture.attemptedNodes.size();
+          fixture.requestArrived(id, 0, key(random, first || ms >= quietMs), ms + 1000, false);
+          fixture.decideAll();
+          if (fixture.attemptedNodes.size() > before) {
+            sent[step] += fixture.attemptedNodes.get(before) == COLD ? 1 : 0;
+            answersByStep
+                .get(Math.min(answersByStep.size() - 1, step + ANSWER_MS / STEP_MS))
+                .add(new long[] {p, id});
           }
-          fixture.said.clear();
-          fixture.sentTo.clear();
-          fixture.mostToSend.clear();
+          fixture.actions.clear();
+          fixture.attemptedNodes.clear();
+          fixture.sendTimeLimits.clear();
         }
       }
     }
+    return new Result(worstLoad(sent, capacity), Arrays.stream(sent).sum());
+  }
+
+  private static List<DecisionEngineFixture> startFleet(int proxies, Random random) {
+    List<DecisionEngineFixture> fixtures = new ArrayList<>();
+    for (int p = 0; p < proxies; p++) {
+      DecisionEngineFixture fixture =
+          DecisionEngineFixture.oneOf(proxies, false, random.nextLong(), List.of());
+      fixture.withEndpoints(LongStream.rangeClosed(0, NODES).toArray());
+      fixture.withEndpointUpdate(COLD, EndpointState.READY, Duration.ZERO);
+      fixtures.add(fixture);
+    }
+    return fixtures;
+  }
+
+  /** The largest load in any window, as a part of what overloads the warming node. */
+  private static double worstLoad(int[] sent, double capacity) {
     double most = 0;
     int window = 0;
     for (int step = 0; step * STEP_MS < COLD_MS; step++) {
@@ -109,16 +117,13 @@
       double n = MULTIPLE * warmth * capacity * FALL_MS / 1000;
       most = Math.max(most, window / (n + 2 * Math.sqrt(n) + 2));
     }
-    return new Played(most, Arrays.stream(sent).sum());
+    return most;
   }
 
-  /**
-   * One whose highest score is the cold node's, which keeps it from its first moment on; or
-   * another's.
-   */
-  private static long key(Random chance, boolean ofCold) {
+  /** A key that the warming node has the highest score for and keeps; or one that is another's. */
+  private static long key(Random random, boolean ofCold) {
     while (true) {
-      long key = chance.nextLong() | 1;
+      long key = random.nextLong() | 1;
       byte[] text = Long.toUnsignedString(key).getBytes(java.nio.charset.StandardCharsets.UTF_8);
       long best = Long.MIN_VALUE;
       long first = 0;
@@ -147,12 +152,12 @@
     for (int proxies : new int[] {6, 20, 30, 120}) {
       for (double capacity : new double[] {2, 10, 40}) {
         for (boolean even : new boolean[] {true, false}) {
-          Played[] all =
+          Result[] all =
               LongStream.range(0, seeds)
                   .parallel()
-                  .mapToObj(seed -> play(proxies, capacity, even, 6500, seed))
-                  .toArray(Played[]::new);
-          double[] most = Arrays.stream(all).mapToDouble(Played::most).sorted().toArray();
+                  .mapToObj(seed -> simulate(proxies, capacity, even, 6500, seed))
+                  .toArray(Result[]::new);
+          double[] most = Arrays.stream(all).mapToDouble(Result::most).sorted().toArray();
           System.out.printf(
               "%d, %.0f/s, %s: %.2f %.2f %.2f; %.1f%n",
               proxies,
@@ -161,7 +166,7 @@
               most[seeds / 2],
               most[seeds * 99 / 100],
               most[seeds - 1],
-              Arrays.stream(all).mapToInt(Played::sent).average().orElse(0));
+              Arrays.stream(all).mapToInt(Result::sent).average().orElse(0));
         }
       }
     }
--- a/src/test/java/pathgw/decision/DecisionEngineFixture.java
+++ b/src/test/java/pathgw/decision/DecisionEngineFixture.java
@@ -8,18 +8,15 @@
 import pathgw.decision.Settings.Group;
 import pathgw.decision.Settings.RequestClass;
 
-/**
- * Builds a state of {@link DecisionEngine} and keeps what it decided, as words; and sockets that
- * the test holds.
- */
+/** Drives one {@link DecisionEngine} at a time that the test sets, and records its actions. */
 public final class DecisionEngineFixture implements DecisionSink {
   static final int ORIGIN = 9;
   static final Duration START = Duration.ZERO;
 
-  final List<String> said = new ArrayList<>();
-  final List<Long> sentTo = new ArrayList<>();
-  final List<Duration> mostToSend = new ArrayList<>();
-  final DecisionEngine decide;
+  final List<String> actions = new ArrayList<>();
+  final List<Long> attemptedNodes = new ArrayList<>();
+  final List<Duration> sendTimeLimits = new ArrayList<>();
+  final DecisionEngine engine;
   private Duration now = START;
 
   DecisionEngineFixture(boolean through, Effect effect, Group group, List<Double> quotas) {
@@ -60,14 +57,14 @@
   }
 
   private DecisionEngineFixture(Settings settings, long seed) {
-    decide = new DecisionEngine(settings, seed);
-    decide.clock(START);
+    engine = new DecisionEngine(settings, seed);
+    engine.clock(START);
   }
 
   /**
    * One of 100 proxies, each with its client: connections are paid for, answers keep their order.
    */
-  static DecisionEngineFixture ofAClient(double... quotas) {
+  static DecisionEngineFixture onePerClient(double... quotas) {
     RequestClass longer =
         new RequestClass(Effect.IDEMPOTENT, Group.ALL, ms(400), ms(2500), ms(6000), 1, 0);
     RequestClass shorter =
@@ -97,11 +94,11 @@
         7);
   }
 
-  static DecisionEngineFixture through(Effect effect) {
+  static DecisionEngineFixture readThrough(Effect effect) {
     return new DecisionEngineFixture(true, effect, Group.ALL, List.of());
   }
 
-  static DecisionEngineFixture through(Effect effect, double lateWeight) {
+  static DecisionEngineFixture readThrough(Effect effect, double lateWeight) {
     return new DecisionEngineFixture(true, effect, Group.ALL, List.of(), lateWeight, 2, 7);
   }
 
@@ -114,30 +111,38 @@
     return Duration.ofMillis(ms);
   }
 
-  DecisionEngineFixture list(long... ids) {
-    decide.beginEndpointUpdate(true, false);
+  DecisionEngineFixture withEndpoints(long... ids) {
+    engine.beginEndpointUpdate(true, false);
     for (long id : ids) {
-      decide.updateEndpoint(id, EndpointState.READY, null, id == 0 ? ORIGIN : 0, (int) id, 0);
+      engine.updateEndpoint(id, EndpointState.READY, null, id == 0 ? ORIGIN : 0, (int) id, 0);
     }
-    decide.endEndpointUpdate();
+    engine.endEndpointUpdate();
     return this;
   }
 
-  DecisionEngineFixture change(long id, EndpointState state, Duration since) {
-    decide.beginEndpointUpdate(false, false);
-    decide.updateEndpoint(id, state, since, 0, (int) id, 0);
-    decide.endEndpointUpdate();
+  DecisionEngineFixture withEndpointUpdate(long id, EndpointState state, Duration since) {
+    engine.beginEndpointUpdate(false, false);
+    engine.updateEndpoint(id, state, since, 0, (int) id, 0);
+    engine.endEndpointUpdate();
     return this;
   }
 
   DecisionEngineFixture requestArrived(long id, long key) {
-    decide.requestArrived(id, 0, 0, key, ms(1000), START, false, false);
+    engine.requestArrived(id, 0, 0, key, ms(1000), START, false, false);
     return this;
   }
 
-  DecisionEngineFixture pull() {
-    while (decide.decide(this)) {
-      if (said.size() > 100_000) {
+  /** An ordinary request of the first class that names no work. */
+  DecisionEngineFixture requestArrived(
+      long id, int tenant, long key, long deadlineMs, boolean repeat) {
+    engine.requestArrived(id, 0, tenant, key, ms(deadlineMs), START, repeat, false);
+    return this;
+  }
+
+  /** Carries out decisions until there is none. */
+  DecisionEngineFixture decideAll() {
+    while (engine.decide(this)) {
+      if (actions.size() > 100_000) {
         throw new IllegalStateException("decisions never end");
       }
     }
@@ -145,50 +150,50 @@
   }
 
   DecisionEngineFixture asks(long id, int requestClass, int tenant, long key) {
-    decide.requestArrived(id, requestClass, tenant, key, now.plus(ms(5000)), START, false, false);
-    return pull();
+    engine.requestArrived(id, requestClass, tenant, key, now.plus(ms(5000)), START, false, false);
+    return decideAll();
   }
 
-  DecisionEngineFixture attemptEnded(long id, int number, AttemptOutcome how, long lag) {
-    decide.attemptEnded(id, number, how, ms(lag), how == AttemptOutcome.SERVED);
-    return pull();
+  DecisionEngineFixture attemptEnded(long id, int number, AttemptOutcome outcome, long latencyMs) {
+    engine.attemptEnded(id, number, outcome, ms(latencyMs), outcome == AttemptOutcome.SERVED);
+    return decideAll();
   }
 
-  DecisionEngineFixture attemptEnded(long id, int number, AttemptOutcome how) {
-    decide.attemptEnded(id, number, how, ms(5), how == AttemptOutcome.SERVED);
+  DecisionEngineFixture attemptEnded(long id, int number, AttemptOutcome outcome) {
+    engine.attemptEnded(id, number, outcome, ms(5), outcome == AttemptOutcome.SERVED);
     return this;
   }
 
   DecisionEngineFixture at(long ms) {
     now = ms(ms);
-    decide.clock(ms(ms));
+    engine.clock(ms(ms));
     return this;
   }
 
   long count(String word) {
-    return said.stream().filter(s -> s.startsWith(word)).count();
+    return actions.stream().filter(s -> s.startsWith(word)).count();
   }
 
   @Override
   public void attempt(long request, Duration patience, Duration sendWithin, long node) {
-    mostToSend.add(sendWithin);
-    said.add("hand-off " + request);
-    sentTo.add(node);
+    sendTimeLimits.add(sendWithin);
+    actions.add("attempt " + request);
+    attemptedNodes.add(node);
   }
 
   @Override
   public void cancel(long request, int attempt) {
-    said.add("withdraw " + request);
+    actions.add("cancel " + request);
   }
 
   @Override
   public void reject(long request, Duration retryAfter) {
-    said.add("deny " + request);
+    actions.add("reject " + request);
   }
 
   @Override
   public void fail(long request) {
-    said.add("write-off " + request);
+    actions.add("fail " + request);
   }
 
   @Override
@@ -196,21 +201,21 @@
 
   @Override
   public void gossip(long node, boolean success) {
-    said.add("tell " + node + " " + success);
+    actions.add("gossip " + node + " " + success);
   }
 
   @Override
   public void closeIdle(long node) {
-    said.add("close " + node);
+    actions.add("close " + node);
   }
 
   @Override
   public void watchEndpoints() {
-    said.add("watch");
+    actions.add("watch");
   }
 
   @Override
   public void pollEndpoints() {
-    said.add("fetch list");
+    actions.add("poll");
   }
 }
--- a/src/test/java/pathgw/decision/FirstSecondsTest.java
+++ b/src/test/java/pathgw/decision/FirstSecondsTest.java
@@ -9,70 +9,69 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
-/**
- * The first ten seconds after the move: 100 proxies begin at once at 64 nodes with 22 places each.
- */
+/** 100 proxies that start at once, at 64 nodes of which each takes 22 connections. */
 class FirstSecondsTest {
   private static final int PROXIES = 100;
   private static final int NODES = 64;
-  private static final int PLACES = 22;
+  private static final int MAX_CONNECTIONS = 22;
 
-  private final int[] taken = new int[NODES + 1];
-  private int sent;
+  private final int[] connections = new int[NODES + 1];
+  private int attempts;
   private int refused;
 
   private final class Proxy {
     private final DecisionEngineFixture fixture =
-        DecisionEngineFixture.ofAClient(1000).list(LongStream.rangeClosed(0, NODES).toArray());
-    private final Set<Integer> open = new HashSet<>();
+        DecisionEngineFixture.onePerClient(1000)
+            .withEndpoints(LongStream.rangeClosed(0, NODES).toArray());
+    private final Set<Integer> openTo = new HashSet<>();
     private final List<Runnable> answers = new ArrayList<>();
-    private int heard;
-    private int met;
+    private int actionsSeen;
+    private int attemptsSeen;
 
     void step(int id, long ms) {
-      fixture.at(ms).pull();
+      fixture.at(ms).decideAll();
       List<Runnable> now = List.copyOf(answers);
       answers.clear();
       now.forEach(Runnable::run);
       fixture.asks(id, 0, 0, id * 7919L);
-      for (int number = 0; met < fixture.sentTo.size(); number++) {
-        answer(id, number, fixture.sentTo.get(met++).intValue());
+      for (int number = 0; attemptsSeen < fixture.attemptedNodes.size(); number++) {
+        answer(id, number, fixture.attemptedNodes.get(attemptsSeen++).intValue());
       }
-      for (; heard < fixture.said.size(); heard++) {
-        String[] word = fixture.said.get(heard).split(" ");
-        if (word[0].equals("close") && open.remove(Integer.valueOf(word[1]))) {
-          taken[Integer.parseInt(word[1])]--;
+      for (; actionsSeen < fixture.actions.size(); actionsSeen++) {
+        String[] action = fixture.actions.get(actionsSeen).split(" ");
+        if (action[0].equals("close") && openTo.remove(Integer.valueOf(action[1]))) {
+          connections[Integer.parseInt(action[1])]--;
         }
       }
     }
 
     private void answer(int id, int number, int node) {
-      sent++;
-      if (!open.contains(node) && taken[node] >= PLACES) {
+      attempts++;
+      if (!openTo.contains(node) && connections[node] >= MAX_CONNECTIONS) {
         refused++;
         fixture.attemptEnded(id, number, AttemptOutcome.CONNECT_FAILED, 2);
         return;
       }
-      taken[node] += open.add(node) ? 1 : 0;
+      connections[node] += openTo.add(node) ? 1 : 0;
       answers.add(() -> fixture.attemptEnded(id, number, AttemptOutcome.SERVED, 90));
     }
   }
 
   @Test
-  void noStormOfConnectionsAndFewAreRefused() {
+  void fewConnectionsAreRefusedAndNobodyPollsEndpointList() {
     List<Proxy> proxies = new ArrayList<>();
     for (int i = 0; i < PROXIES; i++) {
       proxies.add(new Proxy());
     }
-    for (int tenth = 1; tenth <= 100; tenth++) {
+    for (int tick = 1; tick <= 100; tick++) {
       for (int i = 0; i < PROXIES; i++) {
-        proxies.get(i).step(tenth * PROXIES + i, tenth * 100L);
+        proxies.get(i).step(tick * PROXIES + i, tick * 100L);
       }
     }
-    assertTrue(sent > 9_000, sent + " sent");
-    assertTrue(refused < 0.1 * sent, refused + " of " + sent + " refused");
+    assertTrue(attempts > 9_000, attempts + " sent");
+    assertTrue(refused < 0.1 * attempts, refused + " of " + attempts + " refused");
     assertTrue(
-        proxies.stream().allMatch(p -> p.fixture.count("fetch list") == 0),
-        "nobody asks the list again");
+        proxies.stream().allMatch(p -> p.fixture.count("poll") == 0),
+        "no proxy polls the endpoint list");
   }
 }
--- a/src/test/java/pathgw/decision/ProxyPerClientTest.java
+++ b/src/test/java/pathgw/decision/ProxyPerClientTest.java
@@ -4,38 +4,41 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pathgw.decision.DecisionEngineFixture.START;
+import static pathgw.decision.DecisionEngineFixture.ms;
 
 import java.nio.charset.StandardCharsets;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import pathgw.algorithm.RendezvousHash;
 
-/**
- * What has changed for a proxy that is one client's alone: hundreds of them, each with few
- * requests.
- */
+/** A deployment with one proxy for each client: hundreds of proxies, each with few requests. */
 class ProxyPerClientTest {
   private static final long[] NODES = {0, 1, 2, 3, 4};
 
   @Test
-  void aConnectionThatIdlesLongerThanItPaysIsClosedAndOneUsedAgainIsNot() {
+  void idleConnectionIsClosedOnlyWhereOpenConnectionsHaveACost() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.ofAClient(50).list(NODES).asks(1, 0, 0, 8);
-    long node = fixture.sentTo.get(0);
-    fixture.attemptEnded(1, 0, AttemptOutcome.SERVED, 5).at(100).asks(2, 0, 0, 9).at(5_000).pull();
-    assertTrue(fixture.said.contains("close " + node));
+        DecisionEngineFixture.onePerClient(50).withEndpoints(NODES).asks(1, 0, 0, 8);
+    long node = fixture.attemptedNodes.get(0);
+    fixture
+        .attemptEnded(1, 0, AttemptOutcome.SERVED, 5)
+        .at(100)
+        .asks(2, 0, 0, 9)
+        .at(5_000)
+        .decideAll();
+    assertTrue(fixture.actions.contains("close " + node));
     DecisionEngineFixture free =
         new DecisionEngineFixture(
             false, Settings.Effect.IDEMPOTENT, Settings.Group.ALL, java.util.List.of());
-    free.list(NODES)
+    free.withEndpoints(NODES)
         .requestArrived(1, 8)
-        .pull()
+        .decideAll()
         .attemptEnded(1, 0, AttemptOutcome.SERVED)
-        .pull()
+        .decideAll()
         .at(60_000)
-        .pull();
-    assertEquals(
-        0, free.count("close"), "where nothing is paid for it the wire's own time decides");
+        .decideAll();
+    assertEquals(0, free.count("close"), "only where an open connection has a cost");
   }
 
   private static long score(long node, long key) {
@@ -44,13 +47,13 @@
   }
 
   @Test
-  void aRefusalDropsANodeForAMomentAndAsksNobody() {
+  void refusedConnectionExcludesNodeForAMomentWithoutPoll() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.ofAClient(50).list(NODES).asks(1, 0, 0, 8);
-    long node = fixture.sentTo.get(0);
+        DecisionEngineFixture.onePerClient(50).withEndpoints(NODES).asks(1, 0, 0, 8);
+    long node = fixture.attemptedNodes.get(0);
     fixture.attemptEnded(1, 0, AttemptOutcome.CONNECT_FAILED, 2);
-    assertNotEquals(node, fixture.sentTo.get(1));
-    assertEquals(0, fixture.count("fetch list"));
+    assertNotEquals(node, fixture.attemptedNodes.get(1));
+    assertEquals(0, fixture.count("poll"));
     long another =
         LongStream.iterate(9, k -> k + 1)
             .filter(
@@ -61,24 +64,24 @@
             .findFirst()
             .getAsLong();
     fixture.at(20_000).asks(2, 0, 0, another);
-    assertEquals(node, fixture.sentTo.get(2));
+    assertEquals(node, fixture.attemptedNodes.get(2));
   }
 
   @Test
-  void withThreeAttemptsASecondCacheIsTriedAndTheOriginStillAsked() {
+  void lastOfThreeAttemptsIsKeptForOrigin() {
     DecisionEngineFixture fixture =
-        DecisionEngineFixture.ofAClient(50)
-            .list(NODES)
+        DecisionEngineFixture.onePerClient(50)
+            .withEndpoints(NODES)
             .asks(1, 0, 0, 8)
             .attemptEnded(1, 0, AttemptOutcome.ERROR, 5);
     fixture.attemptEnded(1, 1, AttemptOutcome.MISS, 5);
-    assertEquals(3, fixture.sentTo.stream().distinct().count());
-    assertEquals(0L, fixture.sentTo.get(2));
+    assertEquals(3, fixture.attemptedNodes.stream().distinct().count());
+    assertEquals(0L, fixture.attemptedNodes.get(2));
   }
 
   @Test
-  void aBusyProxyDeniesNoShareWhileNothingIsStrained() {
-    DecisionEngineFixture fixture = DecisionEngineFixture.ofAClient(10, 10).list(NODES);
+  void tenantOverQuotaIsAdmittedWithoutCongestion() {
+    DecisionEngineFixture fixture = DecisionEngineFixture.onePerClient(10, 10).withEndpoints(NODES);
     for (int id = 1; id <= 200; id++) {
       fixture.at(id * 20L).asks(id, 0, id % 3 == 0 ? 0 : 1, id);
       fixture
@@ -87,35 +90,36 @@
           .attemptEnded(id, 1, AttemptOutcome.CONNECTION_LOST, 20);
     }
     assertEquals(
-        0, fixture.said.stream().filter(s -> s.startsWith("deny") && !s.endsWith("0")).count());
+        0,
+        fixture.actions.stream().filter(s -> s.startsWith("reject") && !s.endsWith("0")).count());
   }
 
   @Test
-  void aShortRequestGoesRoundANodeThatHasALongOneOut() {
-    DecisionEngineFixture fixture = DecisionEngineFixture.ofAClient(50).list(NODES);
+  void shortRequestAvoidsNodeWithLongRequestInFlight() {
+    DecisionEngineFixture fixture = DecisionEngineFixture.onePerClient(50).withEndpoints(NODES);
     for (int id = 1; id <= 20; id++) {
       fixture.at(id * 1000L).asks(id, 0, 0, id).attemptEnded(id, 0, AttemptOutcome.SERVED, 800);
     }
     fixture.at(30_000).asks(50, 0, 0, 8).asks(51, 1, 0, 8);
-    assertNotEquals(fixture.sentTo.get(20), fixture.sentTo.get(21));
+    assertNotEquals(fixture.attemptedNodes.get(20), fixture.attemptedNodes.get(21));
     fixture.attemptEnded(50, 0, AttemptOutcome.SERVED, 20).at(60_000).asks(52, 1, 0, 8);
-    assertEquals(fixture.sentTo.get(20), fixture.sentTo.get(22));
+    assertEquals(fixture.attemptedNodes.get(20), fixture.attemptedNodes.get(22));
   }
 
   @Test
-  void theKindThatIsLateMoreOftenKeepsAPartOfItsKeys() {
-    DecisionEngineFixture fixture = DecisionEngineFixture.ofAClient(50).list(0);
-    fixture.decide.beginEndpointUpdate(false, false);
+  void machineKindThatIsLateMoreOftenKeepsFewerKeys() {
+    DecisionEngineFixture fixture = DecisionEngineFixture.onePerClient(50).withEndpoints(0);
+    fixture.engine.beginEndpointUpdate(false, false);
     LongStream.rangeClosed(1, 8)
         .forEach(
             n ->
-                fixture.decide.updateEndpoint(
+                fixture.engine.updateEndpoint(
                     n, EndpointState.READY, null, n % 2 == 0 ? 1 : 2, 0, 0));
-    fixture.decide.endEndpointUpdate();
+    fixture.engine.endEndpointUpdate();
     int weak = 0;
     for (int id = 1; id <= 600; id++) {
       fixture.at(id * 100L).asks(id, 0, 0, id);
-      long node = fixture.sentTo.get(fixture.sentTo.size() - 1);
+      long node = fixture.attemptedNodes.get(fixture.attemptedNodes.size() - 1);
       weak += id > 400 && node % 2 == 0 ? 1 : 0;
       fixture.attemptEnded(id, 0, AttemptOutcome.SERVED, node % 2 == 0 && id % 3 != 0 ? 1400 : 50);
     }
@@ -123,49 +127,40 @@
   }
 
   @Test
-  void namedWorkSetsHowLongAnAnswerMayTake() {
-    RequestClassState pace = new RequestClassState();
-    assertEquals(1, pace.scale(DecisionEngineFixture.START));
-    assertEquals(1, pace.scale(DecisionEngineFixture.ms(100)));
-    assertTrue(
-        pace.scale(DecisionEngineFixture.ms(1000)) > 3
-            && pace.scale(DecisionEngineFixture.ms(1)) < 0.6);
+  void namedWorkScalesExpectedLatency() {
+    RequestClassState classState = new RequestClassState();
+    assertEquals(1, classState.scale(START));
+    assertEquals(1, classState.scale(ms(100)));
+    assertTrue(classState.scale(ms(1000)) > 3 && classState.scale(ms(1)) < 0.6);
   }
 
   @Test
-  void aCrowdIsTakenForOneBeforeThoseInItAreLost() {
-    DecisionEngineFixture fixture = DecisionEngineFixture.ofAClient().list(NODES);
+  void congestionIsDetectedBeforeQueuedRequestsAreLost() {
+    DecisionEngineFixture fixture = DecisionEngineFixture.onePerClient().withEndpoints(NODES);
     for (int id = 1; id <= 200; id++) {
-      fixture.decide.requestArrived(
-          id,
-          0,
-          0,
-          id,
-          DecisionEngineFixture.ms(5000),
-          DecisionEngineFixture.ms(100),
-          false,
-          false);
+      fixture.engine.requestArrived(id, 0, 0, id, ms(5000), ms(100), false, false);
     }
-    fixture.pull().at(1_000).asks(300, 0, 0, 300);
-    assertEquals(0, fixture.count("deny"));
-    fixture.at(1_600).pull().asks(301, 0, 0, 301);
-    assertTrue(fixture.said.contains("deny 301"), "0.9 s before the first of them is given up");
+    fixture.decideAll().at(1_000).asks(300, 0, 0, 300);
+    assertEquals(0, fixture.count("reject"));
+    fixture.at(1_600).decideAll().asks(301, 0, 0, 301);
+    assertTrue(
+        fixture.actions.contains("reject 301"), "0.9 s before the first of them ends unanswered");
   }
 
   @Test
-  void whatWasLearntOfANodeGoesOnAndWhatIsSeenSinceStands() {
-    DecisionEngineFixture fixture = DecisionEngineFixture.ofAClient(50).list(NODES);
-    fixture.decide.restore(99, new NodeSnapshot(0, 9, 3, true));
-    fixture.decide.restore(1, new NodeSnapshot(0, 9, 3, true));
-    assertTrue(fixture.decide.snapshot(1).suspected());
+  void snapshotIsRestoredUnlessOutcomesWereSeenSince() {
+    DecisionEngineFixture fixture = DecisionEngineFixture.onePerClient(50).withEndpoints(NODES);
+    fixture.engine.restore(99, new NodeSnapshot(0, 9, 3, true));
+    fixture.engine.restore(1, new NodeSnapshot(0, 9, 3, true));
+    assertTrue(fixture.engine.snapshot(1).suspected());
     fixture.asks(1, 0, 0, 8).attemptEnded(1, 0, AttemptOutcome.SERVED, 5);
-    long met = fixture.sentTo.get(0);
-    fixture.decide.restore(met, new NodeSnapshot(0, 9, 3, true));
-    assertFalse(fixture.decide.snapshot(met).suspected());
+    long met = fixture.attemptedNodes.get(0);
+    fixture.engine.restore(met, new NodeSnapshot(0, 9, 3, true));
+    assertFalse(fixture.engine.snapshot(met).suspected());
     fixture
-        .change(1, EndpointState.READY, DecisionEngineFixture.ms(1))
-        .change(1, EndpointState.READY, DecisionEngineFixture.ms(50));
-    assertFalse(fixture.decide.snapshot(1).suspected(), "started anew");
-    assertEquals(null, fixture.decide.snapshot(99));
+        .withEndpointUpdate(1, EndpointState.READY, ms(1))
+        .withEndpointUpdate(1, EndpointState.READY, ms(50));
+    assertFalse(fixture.engine.snapshot(1).suspected(), "restarted");
+    assertEquals(null, fixture.engine.snapshot(99));
   }
 }
