--- a/src/main/java/pathgw/decision/RequestClassState.java
+++ b/src/main/java/pathgw/decision/RequestClassState.java
@@ -16,7 +16,7 @@
   private double meanWork;
 
   /** Whether requests name how much work they are. */
-  boolean namesWork() {
+  boolean hasCostHints() {
     return meanWork != 0;
   }
 
@@ -25,8 +25,8 @@
    * Half of the latency is taken not to grow with the work: otherwise the lightest requests would
    * seem late whenever they queue.
    */
-  double scale(Duration work) {
-    double seconds = Durations.seconds(work);
+  double scale(Duration costHint) {
+    double seconds = Durations.seconds(costHint);
     if (seconds <= 0) {
       return 1;
     }
--- a/src/main/java/pathgw/decision/RequestState.java
+++ b/src/main/java/pathgw/decision/RequestState.java
@@ -25,7 +25,7 @@
   final Duration deadline;
 
   /** Whether the client has sent it before. */
-  final boolean repeat;
+  final boolean clientRetry;
 
   final boolean write;
 
@@ -38,7 +38,7 @@
   /** The time at which the request gets its final response if it has none by then. */
   Duration giveUpAt;
 
-  NextStep nextStep = NextStep.PLACE;
+  NextStep nextStep = NextStep.ADMIT;
   boolean ended;
   boolean streaming;
 
@@ -64,7 +64,7 @@
       int tenant,
       long key,
       Duration deadline,
-      boolean repeat,
+      boolean clientRetry,
       boolean write) {
     this.id = id;
     this.arrivalOrder = arrivalOrder;
@@ -73,7 +73,7 @@
     this.tenant = tenant;
     this.key = key;
     this.deadline = deadline;
-    this.repeat = repeat;
+    this.clientRetry = clientRetry;
     this.write = write;
   }
 
@@ -88,11 +88,11 @@
    */
   boolean differsFromFirstTry(Duration now, Duration tolerance) {
     Duration timeout = deadline.minus(now);
-    if (!repeat) {
+    if (!clientRetry) {
       classState.firstTryTimeout = timeout;
     }
     Duration difference = timeout.minus(classState.firstTryTimeout).abs();
-    return repeat && Durations.before(tolerance, difference);
+    return clientRetry && Durations.before(tolerance, difference);
   }
 
   /** Whether an answer at this time meets the latency objective. */
@@ -131,7 +131,7 @@
   /** What the next decision on a request is about. */
   enum NextStep {
     /** It has arrived: admit it and choose a cache node. */
-    PLACE,
+    ADMIT,
     /** Its attempt has failed: retry it elsewhere if the retry budget allows. */
     RETRY,
     /** The fetch that it waited for is stored: ask the cache node again. */
--- a/src/main/java/pathgw/decision/Settings.java
+++ b/src/main/java/pathgw/decision/Settings.java
@@ -7,8 +7,8 @@
  * The settings of {@link DecisionEngine}.
  *
  * @param proxies the number of proxies that share the load, this one included
- * @param through read-through: cache nodes fetch what they lack themselves; otherwise (look-aside)
- *     a miss comes back to the proxy
+ * @param readThrough read-through: cache nodes fetch what they lack themselves; otherwise
+ *     (look-aside) a miss comes back to the proxy
  * @param originKind the machine kind of the origin in the endpoint list, or -1 if there is none
  * @param requestClasses the request classes, by their index
  * @param quotas each tenant's quota in requests a second over all proxies, by its index
@@ -19,19 +19,19 @@
  * @param maxRetryAfter the Retry-After of a rejection; zero where clients do not read it
  * @param endpointListOnRequest whether the endpoint list comes only when watched or polled
  * @param pollInterval how long the endpoint list may be used without a call
- * @param step the resolution of time
- * @param coldFrom the fraction of its load that a node can bear just after its start
- * @param coldFor how long a node warms up
- * @param tipMultiple how many times its warm load overloads a node
- * @param fallFor the time over which such a load must last
- * @param openPrice what 100 connections left open at each cache node cost, as a fraction of all
+ * @param clockResolution the resolution of time
+ * @param warmUpStart the fraction of its load that a node can bear just after its start
+ * @param warmUpTime how long a node warms up
+ * @param overloadFactor how many times its warm load overloads a node
+ * @param overloadTime the time over which such a load must last
+ * @param openCost what 100 connections left open at each cache node cost, as a fraction of all
  *     capacity
- * @param handshakePrice what a new connection for each request costs, as such a fraction
- * @param ordered whether responses on one connection come in the order of its requests
+ * @param handshakeCost what a new connection for each request costs, as such a fraction
+ * @param orderedReplies whether responses on one connection come in the order of its requests
  */
 public record Settings(
     int proxies,
-    boolean through,
+    boolean readThrough,
     int originKind,
     List<RequestClass> requestClasses,
     List<Double> quotas,
@@ -42,14 +42,14 @@
     Duration maxRetryAfter,
     boolean endpointListOnRequest,
     Duration pollInterval,
-    Duration step,
-    double coldFrom,
-    Duration coldFor,
-    double tipMultiple,
-    Duration fallFor,
-    double openPrice,
-    double handshakePrice,
-    boolean ordered) {
+    Duration clockResolution,
+    double warmUpStart,
+    Duration warmUpTime,
+    double overloadFactor,
+    Duration overloadTime,
+    double openCost,
+    double handshakeCost,
+    boolean orderedReplies) {
 
   /** How far a request may be repeated. */
   public enum Effect {
@@ -62,9 +62,12 @@
   }
 
   /** Which cache nodes share their memory of idempotency keys. */
-  public enum Group {
+  public enum DedupScope {
+    /** All cache nodes. */
     ALL,
+    /** The nodes of one zone. */
     ZONE,
+    /** The nodes of one cell, a small failure domain. */
     CELL
   }
 
@@ -72,8 +75,8 @@
    * One class of requests.
    *
    * @param effect how far its requests may be repeated
-   * @param group which nodes deduplicate its keyed requests
-   * @param memory how long they remember a key
+   * @param dedupScope which nodes deduplicate its keyed requests
+   * @param dedupWindow how long they remember a key
    * @param latencyObjective the latency within which a response has its whole worth
    * @param deadline the time from a client's first try to the deadline
    * @param priorityWeight what a response within the objective is worth
@@ -81,8 +84,8 @@
    */
   public record RequestClass(
       Effect effect,
-      Group group,
-      Duration memory,
+      DedupScope dedupScope,
+      Duration dedupWindow,
       Duration latencyObjective,
       Duration deadline,
       double priorityWeight,
--- a/src/test/java/pathgw/client/ClientConnectionTest.java
+++ b/src/test/java/pathgw/client/ClientConnectionTest.java
@@ -145,7 +145,7 @@
     assertTrue(client.idleFor(Duration.ofSeconds(2)));
     client();
     assertFalse(client.idleFor(Duration.ofSeconds(2)));
-    assertEquals(ClientActivity.NEVER_ASKED, client.activity());
+    assertEquals(ClientActivity.NO_COMMAND_YET, client.activity());
     FakeConnection slow = client();
     slow.gives("mn\r\n");
     clock.skip(Duration.ofMillis(1900));
--- a/src/test/java/pathgw/decision/AdmissionControlTest.java
+++ b/src/test/java/pathgw/decision/AdmissionControlTest.java
@@ -7,15 +7,15 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import pathgw.decision.Settings.DedupScope;
 import pathgw.decision.Settings.Effect;
-import pathgw.decision.Settings.Group;
 
 /** Quotas and load shedding. */
 class AdmissionControlTest {
   /** Tenant 0, over its quota, has failed 40 times at the origin in 4 s; tenant 1 was idle. */
   private static DecisionEngineFixture overloaded() {
     DecisionEngineFixture fixture =
-        new DecisionEngineFixture(false, Effect.IDEMPOTENT, Group.ALL, List.of(4.0, 400.0))
+        new DecisionEngineFixture(false, Effect.IDEMPOTENT, DedupScope.ALL, List.of(4.0, 400.0))
             .withEndpoints(0, 1, 2, 3);
     for (int id = 1; id <= 40; id++) {
       fixture.at(id * 100L);
@@ -83,7 +83,7 @@
   }
 
   private static DecisionEngineFixture oneOfTwoProxiesWithGreedyTenant() {
-    return new DecisionEngineFixture(false, Effect.IDEMPOTENT, Group.ALL, List.of(4.0, 400.0));
+    return new DecisionEngineFixture(false, Effect.IDEMPOTENT, DedupScope.ALL, List.of(4.0, 400.0));
   }
 
   @Test
--- a/src/test/java/pathgw/decision/AttemptRulesTest.java
+++ b/src/test/java/pathgw/decision/AttemptRulesTest.java
@@ -7,8 +7,8 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathgw.decision.Settings.DedupScope;
 import pathgw.decision.Settings.Effect;
-import pathgw.decision.Settings.Group;
 
 /** What every attempt keeps, whichever mechanism asks for it. */
 class AttemptRulesTest {
@@ -51,7 +51,7 @@
   @Test
   void keyedRequestIsNeitherRetriedNorRejectedOutsideItsDedupGroup() {
     DecisionEngineFixture fixture =
-        new DecisionEngineFixture(true, Effect.IDEMPOTENCY_KEYED, Group.ZONE, List.of())
+        new DecisionEngineFixture(true, Effect.IDEMPOTENCY_KEYED, DedupScope.ZONE, List.of())
             .withEndpoints(1, 2)
             .requestArrived(1, 8)
             .decideAll();
--- a/src/test/java/pathgw/decision/DecisionEngineFixture.java
+++ b/src/test/java/pathgw/decision/DecisionEngineFixture.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.DoubleStream;
+import pathgw.decision.Settings.DedupScope;
 import pathgw.decision.Settings.Effect;
-import pathgw.decision.Settings.Group;
 import pathgw.decision.Settings.RequestClass;
 
 /** Drives one {@link DecisionEngine} at a time that the test sets, and records its actions. */
@@ -19,14 +19,14 @@
   final DecisionEngine engine;
   private Duration now = START;
 
-  DecisionEngineFixture(boolean through, Effect effect, Group group, List<Double> quotas) {
+  DecisionEngineFixture(boolean through, Effect effect, DedupScope group, List<Double> quotas) {
     this(through, effect, group, quotas, 0.5, 2, 7);
   }
 
   private DecisionEngineFixture(
       boolean through,
       Effect effect,
-      Group group,
+      DedupScope group,
       List<Double> quotas,
       double late,
       int proxies,
@@ -66,9 +66,9 @@
    */
   static DecisionEngineFixture onePerClient(double... quotas) {
     RequestClass longer =
-        new RequestClass(Effect.IDEMPOTENT, Group.ALL, ms(400), ms(2500), ms(6000), 1, 0);
+        new RequestClass(Effect.IDEMPOTENT, DedupScope.ALL, ms(400), ms(2500), ms(6000), 1, 0);
     RequestClass shorter =
-        new RequestClass(Effect.IDEMPOTENT, Group.ALL, ms(400), ms(150), ms(400), 1, 0);
+        new RequestClass(Effect.IDEMPOTENT, DedupScope.ALL, ms(400), ms(150), ms(400), 1, 0);
     return new DecisionEngineFixture(
         new Settings(
             100,
@@ -95,16 +95,16 @@
   }
 
   static DecisionEngineFixture readThrough(Effect effect) {
-    return new DecisionEngineFixture(true, effect, Group.ALL, List.of());
+    return new DecisionEngineFixture(true, effect, DedupScope.ALL, List.of());
   }
 
   static DecisionEngineFixture readThrough(Effect effect, double lateWeight) {
-    return new DecisionEngineFixture(true, effect, Group.ALL, List.of(), lateWeight, 2, 7);
+    return new DecisionEngineFixture(true, effect, DedupScope.ALL, List.of(), lateWeight, 2, 7);
   }
 
   static DecisionEngineFixture oneOf(int proxies, boolean through, long seed, List<Double> quotas) {
     return new DecisionEngineFixture(
-        through, Effect.IDEMPOTENT, Group.ALL, quotas, 0.5, proxies, seed);
+        through, Effect.IDEMPOTENT, DedupScope.ALL, quotas, 0.5, proxies, seed);
   }
 
   static Duration ms(long ms) {
--- a/src/test/java/pathgw/decision/DecisionEngineTest.java
+++ b/src/test/java/pathgw/decision/DecisionEngineTest.java
@@ -7,8 +7,8 @@
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathgw.decision.Settings.DedupScope;
 import pathgw.decision.Settings.Effect;
-import pathgw.decision.Settings.Group;
 
 /** Health, slow start, retries and polling of the endpoint list. */
 class DecisionEngineTest {
@@ -73,7 +73,7 @@
   @Test
   void frozenNodeLosesMostButNotAllOfItsRequests() {
     DecisionEngineFixture fixture =
-        new DecisionEngineFixture(false, Effect.IDEMPOTENT, Group.ALL, List.of())
+        new DecisionEngineFixture(false, Effect.IDEMPOTENT, DedupScope.ALL, List.of())
             .withEndpoints(0, 1, 2);
     long frozen = 2;
     int kept = 0;
--- a/src/test/java/pathgw/decision/OriginLimitTest.java
+++ b/src/test/java/pathgw/decision/OriginLimitTest.java
@@ -6,15 +6,15 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import pathgw.decision.Settings.DedupScope;
 import pathgw.decision.Settings.Effect;
-import pathgw.decision.Settings.Group;
 
 /** Concurrency limit and coalescing of origin fetches. */
 class OriginLimitTest {
   @Test
   void missesOnOneKeyShareOneFetchAndAskCacheAgain() {
     DecisionEngineFixture fixture =
-        new DecisionEngineFixture(false, Effect.IDEMPOTENT, Group.ALL, List.of())
+        new DecisionEngineFixture(false, Effect.IDEMPOTENT, DedupScope.ALL, List.of())
             .withEndpoints(0, 1, 2);
     fixture.requestArrived(1, 8).requestArrived(2, 8).decideAll();
     fixture
--- a/src/test/java/pathgw/decision/PlacementTest.java
+++ b/src/test/java/pathgw/decision/PlacementTest.java
@@ -9,8 +9,8 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import pathgw.algorithm.RendezvousHash;
+import pathgw.decision.Settings.DedupScope;
 import pathgw.decision.Settings.Effect;
-import pathgw.decision.Settings.Group;
 
 /** Rendezvous hashing, hot keys and excluded nodes. */
 class PlacementTest {
@@ -61,7 +61,7 @@
   void originIsNeverRankedAsCacheNode() {
     for (long key = 1; key <= 20; key++) {
       DecisionEngineFixture fixture =
-          new DecisionEngineFixture(false, Effect.IDEMPOTENT, Group.ALL, List.of())
+          new DecisionEngineFixture(false, Effect.IDEMPOTENT, DedupScope.ALL, List.of())
               .withEndpoints(0, 1, 2);
       assertNotEquals(0L, fixture.requestArrived(1, key).decideAll().attemptedNodes.get(0));
     }
--- a/src/test/java/pathgw/decision/ProxyPerClientTest.java
+++ b/src/test/java/pathgw/decision/ProxyPerClientTest.java
@@ -30,7 +30,7 @@
     assertTrue(fixture.actions.contains("close " + node));
     DecisionEngineFixture free =
         new DecisionEngineFixture(
-            false, Settings.Effect.IDEMPOTENT, Settings.Group.ALL, java.util.List.of());
+            false, Settings.Effect.IDEMPOTENT, Settings.DedupScope.ALL, java.util.List.of());
     free.withEndpoints(NODES)
         .requestArrived(1, 8)
         .decideAll()
--- a/src/test/java/pathgw/request/RequestHandlerTest.java
+++ b/src/test/java/pathgw/request/RequestHandlerTest.java
@@ -42,7 +42,7 @@
     FakeConnection client = client();
     client.gives(READ);
     assertEquals("SERVER_ERROR busy 1500\r\n", client.written.toString());
-    assertEquals(0, driver.open());
+    assertEquals(0, driver.registeredCount());
   }
 
   @Test
@@ -53,7 +53,7 @@
     client.breaks();
     assertTrue(dialled.get(0).closed, "the attempt in flight is cancelled");
     assertEquals(1, dialled.size());
-    assertEquals(0, driver.open());
+    assertEquals(0, driver.registeredCount());
   }
 
   @Test
@@ -126,6 +126,6 @@
     FakeConnection connection = new FakeConnection();
     connecting.complete(connection);
     assertEquals("", connection.written.toString());
-    assertEquals(0, driver.open());
+    assertEquals(0, driver.registeredCount());
   }
 }
--- a/src/test/java/pathgw/server/DecisionCostBenchmark.java
+++ b/src/test/java/pathgw/server/DecisionCostBenchmark.java
@@ -127,7 +127,7 @@
       int key = i * 7919 % 5000 + 1;
       boolean[] attempted = {false};
       long id =
-          driver.open(
+          driver.register(
               new DecisionDriver.RequestActions() {
                 @Override
                 public void attempt(Duration patience, Duration sendWithin, long node) {
@@ -151,7 +151,7 @@
             engine ->
                 engine.attemptEnded(id, 0, AttemptOutcome.SERVED, Duration.ofMillis(5), true));
       }
-      driver.close(id);
+      driver.unregister(id);
     }
     System.out.printf(
         Locale.ROOT,
