Simulation: accepted connections tell their age, as real sockets do

Cause: VirtualConnection.maxTimeSinceArrival was zero for accepted connections, so that one which the proxy held during its warm-up was taken for new when serving began, and its first request got a deadline from when it was read. Real sockets tell the age (VertxTransportAcceptedConnection).

Change: the network marks the accepted end with the time.

--- a/src/main/java/pathgw/simulation/network/VirtualConnection.java
+++ b/src/main/java/pathgw/simulation/network/VirtualConnection.java
@@ -37,6 +37,10 @@
   private Consumer<Buffer> writeObserver = bytes -> {};
   private Consumer<CloseReason> closeHandler = reason -> {};
   private Runnable writableHandler = () -> {};
+
+  /** When this end was accepted; -1 for a dialled end. */
+  private long acceptedAtNanos = -1;
+
   private boolean paused;
   private boolean closed;
   private boolean closeNotified;
@@ -71,6 +75,11 @@
     second.remoteEnd = first;
   }
 
+  /** Marks this end as accepted now. */
+  void markAccepted() {
+    acceptedAtNanos = network.now();
+  }
+
   /** Returns the process at the remote end. */
   public VirtualProcess remoteOwner() {
     return remoteEnd.owner;
@@ -286,7 +295,7 @@
 
   @Override
   public Duration maxTimeSinceArrival() {
-    return Duration.ZERO;
+    return acceptedAtNanos < 0 ? Duration.ZERO : Duration.ofNanos(network.now() - acceptedAtNanos);
   }
 
   @Override
--- a/src/main/java/pathgw/simulation/network/VirtualNetwork.java
+++ b/src/main/java/pathgw/simulation/network/VirtualNetwork.java
@@ -183,6 +183,7 @@
     VirtualProcess server = listener == null ? client : listener.owner;
     VirtualConnection serverEnd = new VirtualConnection(this, server, attempt.target, localAddress);
     VirtualConnection.linkEnds(clientEnd, serverEnd);
+    serverEnd.markAccepted();
     if (listener == null || server.isDead() || !listener.acceptor.accept(serverEnd)) {
       client.closed(clientEnd);
       server.closed(serverEnd);
