Hold back responses that a short length may have cut off, until nothing follows

Cause: a declared length was taken for the end of the payload. PooledConnection.received passed the reply on and used what followed it (hasSurplusBytes) only to close the connection. Evidence: the log line "surplus bytes after a reply" names each response that was served cut; a rest that comes 5 ms later is served cut as well, with another line, so a check of the same read alone would not do.

Fix: ReplyConfirmation. What follows a reply is decoded as another reply to the request: a copy is fine, anything else ends the attempt as one that may have run. Behind a Content-Length 8 ms must pass in which nothing arrives (or the stream end); behind a length with a delimiter (values of cache nodes, chunks) the iteration of the event loop must end; receipts and errors of one line pass at once, as before. A trailer must be a header. The simulation's origin sends lengths that are too short, and the warm-up's origin answers in chunks, so that a start takes no longer.

Tests: valueFollowedByOtherBytesIsNotForwarded, responseWhoseLengthIsTooShortIsNotForwarded, responseWhoseLengthIsTooLongIsNotForwardedWithBytesOfACopy, chunkedResponseWithAnEarlyEndIsNotForwarded, originResponseLongerThanItsLengthIsNotDelivered (sockets) and three on the wait failed on the code before, seen; listCutOffByAWrongLengthIsNotAccepted passed before (discovery was sound). Changed assertions: a good response followed by noise was expected to be served (OK + "noise" in OriginConnectionTest; "?" and CRLF behind a value in ConnectionPoolTest). Other tests let the event loop end its iteration before they expect a value.

What it costs good answers: each response of the origin with a length is passed on 8 ms later, and a good one with noise behind it is an attempt that failed.

--- a/src/main/java/pathgw/decision/AttemptState.java
+++ b/src/main/java/pathgw/decision/AttemptState.java
@@ -17,6 +17,9 @@
   /** The outcome, or null while the attempt is in flight. */
   AttemptOutcome outcome;
 
+  /** Whether the reply has arrived, which may be before the attempt ends. */
+  boolean replyReceived;
+
   /**
    * Whether the timeout of {@link RetryBudget#attemptTimeoutSeconds} has passed while the attempt
    * was in flight. Unlike {@link AttemptOutcome#TIMED_OUT}, this does not end the attempt.
--- a/src/main/java/pathgw/fake/server/FakeOrigin.java
+++ b/src/main/java/pathgw/fake/server/FakeOrigin.java
@@ -7,6 +7,8 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import pathgw.fake.BackendObserver;
 import pathgw.fake.Clock;
 import pathgw.fake.Request;
@@ -68,6 +70,11 @@
    */
   private static final int REPLIES_PER_UNUSUAL_REPLY = 16;
 
+  private static final Pattern CONTENT_LENGTH = Pattern.compile("Content-Length: (\\d+)");
+
+  /** By how much a declared length that is too short is less than the length of the body. */
+  private static final int MISSING_BYTES = 4;
+
   private static final int RECEIPT_RADIX = 36;
 
   private final Parameters parameters;
@@ -228,6 +235,12 @@
 
   @Override
   String withWrongLength(String reply) {
+    Matcher length = CONTENT_LENGTH.matcher(reply);
+    boolean hasLongBody = length.find() && Integer.parseInt(length.group(1)) > MISSING_BYTES;
+    if (hasLongBody && random.nextBoolean()) {
+      int tooShort = Integer.parseInt(length.group(1)) - MISSING_BYTES;
+      return length.replaceFirst("Content-Length: " + tooShort);
+    }
     return reply.replaceFirst("Content-Length: ", "Content-Length: 1\r\nContent-Length: ");
   }
 
--- a/src/test/java/pathgw/decision/OriginLimitTest.java
+++ b/src/test/java/pathgw/decision/OriginLimitTest.java
@@ -106,4 +106,21 @@
     fixture.decideAll().attemptEnded(2, 0, AttemptOutcome.MISS).decideAll();
     assertTrue(fixture.actions.contains("reject 2"));
   }
+
+  /** Guards against fewer fetches while replies of the origin are held back. */
+  @Test
+  void slotIsFreeOnceTheReplyIsReceivedThoughTheAttemptHasNotEnded() {
+    DecisionEngineFixture fixture =
+        DecisionEngineFixture.oneOf(1, false, 7, List.of()).withEndpoints(0, 1, 2);
+    for (long id = 1; id <= 60; id++) {
+      fixture.requestArrived(id, id).decideAll();
+      fixture.attemptEnded(id, 0, AttemptOutcome.MISS).decideAll();
+    }
+    long sent = fixture.attemptedNodes.stream().filter(n -> n == 0).count();
+    fixture.engine.replyReceived(1, 1, ms(5));
+    fixture.decideAll();
+    assertEquals(sent + 1, fixture.attemptedNodes.stream().filter(n -> n == 0).count());
+    fixture.attemptEnded(1, 1, AttemptOutcome.SERVED).decideAll();
+    assertEquals(sent + 1, fixture.attemptedNodes.stream().filter(n -> n == 0).count());
+  }
 }
--- a/src/test/java/pathgw/upstream/ConnectionPoolTest.java
+++ b/src/test/java/pathgw/upstream/ConnectionPoolTest.java
@@ -115,6 +115,7 @@
     node.deliver("1\r\n\r\n");
     assertEquals(List.of(), ends);
     node.deliver("\r\n");
+    endIteration();
     assertEquals(List.of("ANSWERED VA 2 Oa1 h1\r\n\r\n\r\n"), ends);
   }
 
@@ -189,21 +190,65 @@
     assertEquals(List.of("MISS"), ends, "the second attempt is in flight");
   }
 
+  /** Sends a read and returns how it ends when a node sends these pieces in one iteration. */
+  private String readAnsweredBy(String... pieces) throws MalformedCommandException {
+    ends.clear();
+    pool(1).send(attempt());
+    FakeConnection node = dialled.get(dialled.size() - 1);
+    for (String piece : pieces) {
+      node.deliver(piece);
+    }
+    runForMillis(30);
+    assertTrue(node.closed, "surplus bytes would be taken for the next reply");
+    assertEquals(1, ends.size());
+    return ends.get(0);
+  }
+
+  /**
+   * Guards against a value that is forwarded cut off: the bytes behind it may be its rest, unless
+   * they are a copy of the reply.
+   */
   @Test
-  void connectionWithSurplusBytesIsClosed() throws MalformedCommandException {
-    for (String surplus : new String[] {"VA 2 Oa1\r\nhi\r\n", "?", "\r\n"}) {
-      ConnectionPool pool = pool(2);
-      pool.send(attempt());
-      FakeConnection node = dialled.get(dialled.size() - 1);
-      node.deliver("VA 2 Oa1\r\nhi\r\n" + surplus);
-      assertTrue(node.closed);
+  void valueFollowedByOtherBytesIsNotForwarded() throws MalformedCommandException {
+    String reply = "VA 2 Oa1\r\nhi\r\n";
+    String answered = "ANSWERED " + reply;
+    assertEquals(answered, readAnsweredBy(reply + reply));
+    assertEquals(answered, readAnsweredBy(reply + "VA 2 O", "a1\r\nhi\r\n" + reply));
+    for (String rest : new String[] {"?", "\r\n", "ho\r\n", "VA 2 Oa1\r\nho\r\n", "VA 2 Oa1\r\n"}) {
+      assertEquals("PROTOCOL_ERROR", readAnsweredBy(reply + rest), rest);
+      assertEquals("PROTOCOL_ERROR", readAnsweredBy(reply, rest), rest);
+      assertEquals("PROTOCOL_ERROR", readAnsweredBy(reply + reply + rest), rest);
     }
-    assertEquals(Set.of("ANSWERED VA 2 Oa1\r\nhi\r\n"), Set.copyOf(ends));
+  }
+
+  /** Their line end cannot occur within them, so what follows is not a part of them. */
+  @Test
+  void replyOfOneLineIsValidWhateverFollows() throws MalformedCommandException {
+    assertEquals("MISS", readAnsweredBy("EN Oa1\r\n?"));
+    assertEquals("REJECTED", readAnsweredBy("SERVER_ERROR busy\r\n?"));
+    assertEquals("FAILED", readAnsweredBy("SERVER_ERROR failed\r\n?"));
+    ends.clear();
+    pool(1).send(attempt("ms k1 1 Oa1 Pc=write"));
+    dialled.get(dialled.size() - 1).deliver("HD Oa1 c9\r\n?");
+    assertEquals(List.of("ANSWERED HD Oa1 c9\r\n"), ends);
+  }
+
+  @Test
+  void valueIsForwardedWhenItsConnectionEndsBehindIt() throws MalformedCommandException {
+    FakeConnection node = sendOnNewPool();
+    node.deliver("VA 2 Oa1\r\nhi\r\n");
+    node.ends();
+    assertEquals(List.of("ANSWERED VA 2 Oa1\r\nhi\r\n"), ends);
+  }
+
+  @Test
+  void connectionWithSurplusBytesIsClosed() throws MalformedCommandException {
     pool(1).send(attempt());
-    FakeConnection later = dialled.get(dialled.size() - 1);
-    later.deliver("EN Oa1\r\n");
-    later.deliver("?");
-    assertTrue(later.closed, "surplus bytes may also arrive after the reply");
+    FakeConnection node = dialled.get(dialled.size() - 1);
+    node.deliver("EN Oa1\r\n");
+    assertFalse(node.closed);
+    node.deliver("?");
+    assertTrue(node.closed, "surplus bytes may also arrive after the reply");
   }
 
   @Test
--- a/src/test/java/pathgw/upstream/OriginConnectionTest.java
+++ b/src/test/java/pathgw/upstream/OriginConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import pathgw.codec.HttpOriginCodec;
@@ -13,14 +14,32 @@
 class OriginConnectionTest extends ConnectionPoolFixture {
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
 
+  private static final String WRITE = "ms k 1 Ob2 Pc=write";
+  private static final String CHUNKED_HEAD =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  /** The time for which a response is held back, to see whether anything follows it. */
+  private static final int QUIET_MS = 8;
+
+  private FakeConnection sendToOrigin(String command) throws MalformedCommandException {
+    pool(new ConnectionLimit(1), () -> new HttpOriginCodec(TEST_ADDRESS)).send(attempt(command));
+    return dialled.get(dialled.size() - 1);
+  }
+
   /**
-   * Sends an attempt and returns how the given response ends it, followed by "closed" if its
-   * connection was closed.
+   * Sends an attempt and returns how a response in these pieces ends it, followed by "closed" if
+   * its connection was closed. The pieces arrive at intervals of 5 ms.
    */
-  private String attemptAtOrigin(String command, String response) throws MalformedCommandException {
-    pool(new ConnectionLimit(1), () -> new HttpOriginCodec(TEST_ADDRESS)).send(attempt(command));
-    FakeConnection connection = dialled.get(dialled.size() - 1);
-    connection.deliver(response);
+  private String attemptAtOrigin(String command, String... pieces)
+      throws MalformedCommandException {
+    FakeConnection connection = sendToOrigin(command);
+    for (String piece : pieces) {
+      advanceMillis(5);
+      if (!connection.closed) {
+        connection.deliver(piece);
+      }
+    }
+    advanceMillis(QUIET_MS);
     return (ends.isEmpty() ? "nothing" : ends.remove(0)) + (connection.closed ? " closed" : "");
   }
 
@@ -57,7 +76,102 @@
         value + " closed",
         attemptAtOrigin(READ, OK + OK),
         "a second copy would be taken for the next response");
-    assertEquals(value + " closed", attemptAtOrigin(READ, OK + "noise"));
+    assertEquals(value + " closed", attemptAtOrigin(READ, OK, "HTTP/1.1 200 O", OK.substring(14)));
+  }
+
+  /**
+   * Guards against a value or receipt that is forwarded cut off, because its declared length is too
+   * short. The rest then follows the response, in one piece with it or some milliseconds later.
+   */
+  @Test
+  void responseWhoseLengthIsTooShortIsNotForwarded() throws MalformedCommandException {
+    for (String command : new String[] {READ, WRITE}) {
+      for (String rest :
+          new String[] {
+            "!", "noise", "\r\n", "HTTP/1.1", "x".repeat(3000), OK.replace("hi", "ho")
+          }) {
+        String expected = "PROTOCOL_ERROR closed";
+        assertEquals(expected, attemptAtOrigin(command, OK + rest), rest);
+        assertEquals(expected, attemptAtOrigin(command, OK, rest), rest);
+        assertEquals(expected, attemptAtOrigin(command, OK + rest + OK), rest);
+        assertEquals(expected, attemptAtOrigin(command, OK, OK, rest), rest);
+      }
+      String empty = OK.replace("2\r", "0\r");
+      assertEquals("PROTOCOL_ERROR closed", attemptAtOrigin(command, empty));
+    }
+  }
+
+  /** The bytes of the second copy fill up the declared length. */
+  @Test
+  void responseWhoseLengthIsTooLongIsNotForwardedWithBytesOfACopy()
+      throws MalformedCommandException {
+    assertEquals("PROTOCOL_ERROR closed", attemptAtOrigin(READ, OK.replace("2\r", "6\r") + OK));
+    assertEquals("PROTOCOL_ERROR closed", attemptAtOrigin(READ, OK.replace("2\r", "6\r"), OK));
+  }
+
+  @Test
+  void chunkedResponseWithAnEarlyEndIsNotForwarded() throws MalformedCommandException {
+    String cut = CHUNKED_HEAD + "2\r\nhi\r\n0\r\n\r\n";
+    assertEquals("PROTOCOL_ERROR closed", attemptAtOrigin(READ, cut + "rest\r\n0\r\n\r\n"));
+    assertEquals("ANSWERED VA 2 Oa1\r\nhi\r\n closed", attemptAtOrigin(READ, cut + cut));
+    String restAsTrailer = CHUNKED_HEAD + "2\r\nhi\r\n0\r\nrest\r\n\r\n";
+    assertEquals("PROTOCOL_ERROR closed", attemptAtOrigin(READ, restAsTrailer));
+  }
+
+  @Test
+  void responseIsForwardedOnceNothingHasFollowedItForAWhile() throws MalformedCommandException {
+    FakeConnection connection = sendToOrigin(READ);
+    connection.deliver(OK);
+    advanceMillis(QUIET_MS - 1);
+    assertEquals(List.of(), ends);
+    advanceMillis(1);
+    assertEquals(List.of("ANSWERED VA 2 Oa1\r\nhi\r\n"), ends);
+  }
+
+  @Test
+  void bytesThatArrivedDuringABlockOfTheEventLoopAreReadBeforeAResponseIsForwarded()
+      throws MalformedCommandException {
+    measureLag();
+    FakeConnection connection = sendToOrigin(READ);
+    connection.deliver(OK);
+    clock.skip(Duration.ofMillis(100));
+    advanceMillis(0);
+    connection.deliver("rest");
+    runForMillis(50);
+    assertEquals(List.of("PROTOCOL_ERROR"), ends);
+  }
+
+  /** Nothing can follow the end of a stream, but a reset may have destroyed what followed. */
+  @Test
+  void responseWithALengthIsCompleteAtEndOfStreamButNotAfterAReset()
+      throws MalformedCommandException {
+    FakeConnection ended = sendToOrigin(READ);
+    ended.deliver(OK);
+    ended.ends();
+    FakeConnection reset = sendToOrigin(READ);
+    reset.deliver(OK);
+    reset.reset();
+    FakeConnection longer = sendToOrigin(READ);
+    longer.deliver(OK + "re");
+    longer.ends();
+    FakeConnection shorter = sendToOrigin(READ);
+    shorter.deliver(OK.replace("2\r", "3\r"));
+    shorter.ends();
+    assertEquals(
+        List.of(
+            "ANSWERED VA 2 Oa1\r\nhi\r\n",
+            "BROKE_AFTER_LAST_BYTE",
+            "BROKE_AFTER_LAST_BYTE",
+            "BROKE_AFTER_LAST_BYTE"),
+        ends);
+  }
+
+  /** Its result stands in the head, whose end is a line end. */
+  @Test
+  void errorIsValidWhateverFollows() throws MalformedCommandException {
+    String busy = "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+    assertEquals("REJECTED closed", attemptAtOrigin(READ, busy + "rest"));
+    assertEquals("FAILED closed", attemptAtOrigin(READ, busy.replace("503", "500") + "rest"));
   }
 
   /** After a reset a body without a length may be incomplete. */
@@ -90,13 +204,12 @@
 
   @Test
   void chunkedResponseIsDecoded() throws MalformedCommandException {
-    String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     assertEquals(
         "ANSWERED VA 4 Oa1\r\nhi\r\n\r\n",
-        attemptAtOrigin(READ, head + "1;x\r\nh\r\n3\r\ni\r\n\r\n0\r\nT: x\r\n\r\n"));
+        attemptAtOrigin(READ, CHUNKED_HEAD + "1;x\r\nh\r\n3\r\ni\r\n\r\n0\r\nT: x\r\n\r\n"));
     assertEquals(
         "PROTOCOL_ERROR closed",
-        attemptAtOrigin(READ, head + "5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"));
+        attemptAtOrigin(READ, CHUNKED_HEAD + "5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"));
   }
 
   @Test
@@ -116,7 +229,6 @@
       assertEquals(
           "PROTOCOL_ERROR closed", attemptAtOrigin(READ, response), response.substring(0, 9));
     }
-    assertEquals(
-        "PROTOCOL_ERROR closed", attemptAtOrigin("ms k 1 Ob2 Pc=write", OK.replace("hi", "\r\n")));
+    assertEquals("PROTOCOL_ERROR closed", attemptAtOrigin(WRITE, OK.replace("hi", "\r\n")));
   }
 }
