--- a/src/test/java/pathgw/upstream/OriginConnectionTest.java
+++ b/src/test/java/pathgw/upstream/OriginConnectionTest.java
@@ -202,6 +202,16 @@
         "the origin announced the close");
   }
 
+  /** Guards against good responses that are taken for malformed because of a long header. */
+  @Test
+  void headerLinesAreAcceptedUpToEightKibibytes() throws MalformedCommandException {
+    String note = "X-Note: " + "n".repeat(8192 - "X-Note: ".length());
+    assertEquals(
+        "ANSWERED VA 2 Oa1\r\nhi\r\n", attemptAtOrigin(READ, OK.replace("Con", note + "\r\nCon")));
+    assertEquals(
+        "PROTOCOL_ERROR closed", attemptAtOrigin(READ, OK.replace("Con", note + "n\r\nCon")));
+  }
+
   @Test
   void chunkedResponseIsDecoded() throws MalformedCommandException {
     assertEquals(
