Run on the native transport on arm64 too, and say which transport runs

Cause: the pom named netty's epoll library for x86-64 alone, so that the program ran on Java's selector on arm64, without a word. There a client's close is seen late, and TCP_INFO does not exist.

Change: both native libraries are dependencies (jar and target/native hold both); a proxy loads the one of its processor.

Not run on x86-64: this machine is arm64.

--- a/src/test/java/pathgw/server/ProcessIT.java
+++ b/src/test/java/pathgw/server/ProcessIT.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -14,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.jar.JarFile;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -175,6 +177,21 @@
     assertEquals(128 + 15, process.exitValue(), log());
   }
 
+  @Test
+  void packagedProgramBringsAndNamesTheNativeTransportOfEachProcessor() throws Exception {
+    for (String processor : List.of("x86_64", "aarch_64")) {
+      String library = "libnetty_transport_native_epoll_" + processor + ".so";
+      assertTrue(Files.exists(Path.of("target/native", library)), library);
+      try (JarFile jar = new JarFile("target/pathgw.jar")) {
+        assertNotNull(jar.getEntry("META-INF/native/" + library), library);
+      }
+    }
+    start(discovery.port());
+    awaitLog("serves on");
+    String line = "transport epoll on Linux " + System.getProperty("os.arch");
+    assertTrue(log().contains(line) || !System.getProperty("os.name").equals("Linux"), log());
+  }
+
   /** The process is suspended, so that the command and the signal are pending at the same time. */
   @Test
   void terminatedDuringWarmUpItAnswersReceivedCommands() throws Exception {
