--- a/src/main/java/pathgw/transport/VertxTransportAcceptedConnection.java
+++ b/src/main/java/pathgw/transport/VertxTransportAcceptedConnection.java
@@ -5,12 +5,14 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.ContextInternal;
 import io.vertx.core.internal.PromiseInternal;
 import io.vertx.core.internal.buffer.BufferInternal;
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -45,6 +47,10 @@
   private boolean paused;
   private boolean deliveryScheduled;
   private boolean broken;
+  private long undeliveredBytes;
+
+  /** The bytes that {@link #close} dropped unsent. */
+  private long unsentBytesAtClose;
 
   /**
    * Creates the connection of a channel, which is not registered with the event loop yet.
@@ -91,6 +97,7 @@
       received.release();
     }
     unread.add(bytes);
+    undeliveredBytes += bytes.length();
     scheduleDelivery();
   }
 
@@ -108,7 +115,9 @@
   private void deliverUnread() {
     deliveryScheduled = false;
     while (!paused && channel.isOpen() && !unread.isEmpty()) {
-      context.emit(unread.poll(), bytes -> dataHandler.accept(bytes));
+      Buffer bytes = unread.poll();
+      undeliveredBytes -= bytes.length();
+      context.emit(bytes, delivered -> dataHandler.accept(delivered));
     }
   }
 
@@ -128,7 +137,14 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    LOG.log(Level.DEBUG, () -> remoteAddress + ": connection error: " + cause);
+    if (cause instanceof IOException) {
+      LOG.log(Level.DEBUG, () -> remoteAddress + ": connection error: " + cause);
+    } else {
+      LOG.log(
+          Level.ERROR,
+          "client " + remoteAddress + " connection closed: internal error while reading or writing",
+          cause);
+    }
     close();
   }
 
@@ -181,6 +197,7 @@
   @Override
   public void close() {
     broken = true;
+    unsentBytesAtClose = unsentBytes();
     channel.unsafe().close(channel.voidPromise());
   }
 
@@ -189,6 +206,17 @@
     var unused = ((DuplexChannel) channel).shutdownOutput();
   }
 
+  @Override
+  public long undeliveredBytes() {
+    return undeliveredBytes;
+  }
+
+  @Override
+  public long unsentBytes() {
+    ChannelOutboundBuffer queue = channel.unsafe().outboundBuffer();
+    return queue == null ? unsentBytesAtClose : queue.totalPendingWriteBytes();
+  }
+
   @Override
   public boolean isClosedByPeer() {
     return tcpState.isClosedByPeer(channel);
--- a/src/test/java/pathgw/simulation/ForwardingConnection.java
+++ b/src/test/java/pathgw/simulation/ForwardingConnection.java
@@ -70,6 +70,16 @@
     return delegate.isClosedByPeer();
   }
 
+  @Override
+  public long undeliveredBytes() {
+    return delegate.undeliveredBytes();
+  }
+
+  @Override
+  public long unsentBytes() {
+    return delegate.unsentBytes();
+  }
+
   @Override
   public Address localAddress() {
     return delegate.localAddress();
