--- a/src/test/java/pathgw/transport/FakeConnection.java
+++ b/src/test/java/pathgw/transport/FakeConnection.java
@@ -32,6 +32,9 @@
   /** The host of both addresses. */
   public String from = "127.0.0.1";
 
+  /** Bytes that were read from the other side and will be delivered later in the iteration. */
+  public long undeliveredBytes;
+
   private Consumer<Buffer> reader;
   private Consumer<CloseReason> onClose;
   private Runnable onWritable;
@@ -119,6 +122,11 @@
     return closedByPeer;
   }
 
+  @Override
+  public long undeliveredBytes() {
+    return undeliveredBytes;
+  }
+
   @Override
   public Address localAddress() {
     return new Address(from, 1);
