Send responses whole to clients that read slowly, whatever else ends their connection

What callers saw: the end of the connection in the middle of a response (ConnectionEndIT on the code before: 3,006,464 of 3,250,840 bytes).

Cause: a response counted as sent once the transport had taken it. ResponseQueue.isEmpty did not see the transport's own queue, so that the connection was idle (drained by the sweeper after 2 s, evicted, or ended by a shutdown) and was closed 0.5 s after that over up to 64 KiB. And a client counted as stuck if nothing was written to the kernel for 3 s: the kernel takes 2.6 MB on loopback and asks for more only once a third of it is free, which a client that reads 0.3 MB/s needs 2.9 s for.

TCP_NOTSENT_LOWAT (128 KiB, where there is one) makes the kernel tell of it for each piece, and keeps megabytes for slow clients out of the kernel.

--- a/src/main/java/pathgw/transport/VertxTransportListener.java
+++ b/src/main/java/pathgw/transport/VertxTransportListener.java
@@ -2,16 +2,21 @@
 
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.internal.ContextInternal;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -24,7 +29,9 @@
  * for a second, while the requests on waiting connections expire unseen.
  */
 final class VertxTransportListener extends ChannelInboundHandlerAdapter {
+  private static final Logger LOG = System.getLogger(VertxTransportListener.class.getName());
   private static final int ACCEPT_BACKLOG = 1024;
+  private static final long MAX_UNSENT_BYTES_IN_KERNEL = 128 * 1024;
 
   /** Connections accepted in one iteration of the event loop; others wait for the next one. */
   private static final int MAX_ACCEPTED_PER_ITERATION = 16;
@@ -107,6 +114,7 @@
     Channel channel = (Channel) accepted;
     long arrivedAfterNanos = queue.accepted(lastEmptyNanos());
     channel.config().setOption(ChannelOption.TCP_NODELAY, true);
+    limitUnsentBytesInKernel(channel);
     channel.config().setOption(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT);
     channel
         .pipeline()
@@ -116,6 +124,22 @@
     var unused = context.nettyEventLoop().register(channel);
   }
 
+  /**
+   * Without the limit the kernel accepts megabytes for a client that reads slowly, and tells of no
+   * progress until the client has read a third of them.
+   */
+  private static void limitUnsentBytesInKernel(Channel channel) {
+    if (channel instanceof EpollSocketChannel) {
+      try {
+        channel
+            .config()
+            .setOption(EpollChannelOption.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES_IN_KERNEL);
+      } catch (ChannelException e) {
+        LOG.log(Level.DEBUG, () -> "TCP_NOTSENT_LOWAT is not available: " + e);
+      }
+    }
+  }
+
   /** When the accept queue was last empty, if it was so in the previous iteration of the loop. */
   private long lastEmptyNanos() {
     return nanoClock.getAsLong() - handler.eventLoopLag().toNanos();
--- a/src/test/java/pathgw/transport/FakeConnection.java
+++ b/src/test/java/pathgw/transport/FakeConnection.java
@@ -23,18 +23,21 @@
   /** Whether the other side has ended the stream although bytes before its end are unread. */
   public boolean closedByPeer;
 
-  /**
-   * Whether the futures of writes complete, as they do once the bytes have been passed to the
-   * network.
-   */
+  /** Whether writes complete, as they do once the bytes have been passed to the network. */
   public boolean completesWrites = true;
 
+  /** The result of each write, unless {@link #completesWrites} is false. */
+  public Future<Void> writes = Future.succeededFuture();
+
   /** The host of both addresses. */
   public String from = "127.0.0.1";
 
   /** Bytes that were read from the other side and will be delivered later in the iteration. */
   public long undeliveredBytes;
 
+  /** Bytes that were written and that the network has not accepted. */
+  public long unsentBytes;
+
   private Consumer<Buffer> reader;
   private Consumer<CloseReason> onClose;
   private Runnable onWritable;
@@ -88,7 +91,7 @@
   public Future<Void> write(Buffer bytes) {
     written.append(bytes);
     writeCount++;
-    return completesWrites ? Future.succeededFuture() : Promise.<Void>promise().future();
+    return completesWrites ? writes : Promise.<Void>promise().future();
   }
 
   @Override
@@ -122,6 +125,11 @@
     return closedByPeer;
   }
 
+  @Override
+  public long unsentBytes() {
+    return unsentBytes;
+  }
+
   @Override
   public long undeliveredBytes() {
     return undeliveredBytes;
