Read a bounded number of bytes and commands of one client in an iteration of the event loop

What callers saw: beside 20 clients that flood "hello" lines, 500 of 500 requests without an answer, the loop blocked for 3.8 s; with empty lines 501 unanswered and 45 StackOverflowError (ExhaustionIT, the code before).

Cause: a channel was read up to 16 times 64 KiB in one iteration, all of it was handled at once, and ClientConnection.flush, resumeReading and readAndFlush called one another once for every 16 commands, to a depth that the input decided.

Fix: one read of at most 16 KiB for a client in an iteration.

CPU a request was not measured.

--- a/src/main/java/pathgw/transport/VertxTransportListener.java
+++ b/src/main/java/pathgw/transport/VertxTransportListener.java
@@ -1,6 +1,7 @@
 package pathgw.transport;
 
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
@@ -31,6 +32,9 @@
 final class VertxTransportListener extends ChannelInboundHandlerAdapter {
   private static final Logger LOG = System.getLogger(VertxTransportListener.class.getName());
   private static final int ACCEPT_BACKLOG = 1024;
+  private static final int MIN_READ_BYTES = 512;
+  private static final int INITIAL_READ_BYTES = 2048;
+  private static final int MAX_READ_BYTES = 16 * 1024;
   private static final long MAX_UNSENT_BYTES_IN_KERNEL = 128 * 1024;
 
   /** Connections accepted in one iteration of the event loop; others wait for the next one. */
@@ -115,6 +119,7 @@
     long arrivedAfterNanos = queue.accepted(lastEmptyNanos());
     channel.config().setOption(ChannelOption.TCP_NODELAY, true);
     limitUnsentBytesInKernel(channel);
+    channel.config().setRecvByteBufAllocator(limitedReads());
     channel.config().setOption(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT);
     channel
         .pipeline()
@@ -124,6 +129,12 @@
     var unused = context.nettyEventLoop().register(channel);
   }
 
+  /** Reads little from one client in one iteration, so that the others get their turn. */
+  private static RecvByteBufAllocator limitedReads() {
+    return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+        .maxMessagesPerRead(1);
+  }
+
   /**
    * Without the limit the kernel accepts megabytes for a client that reads slowly, and tells of no
    * progress until the client has read a third of them.
