Bound the memory for incomplete commands, and shed those whose clients have stopped

Cause: CommandReader buffered up to 64 KiB for each connection, and nothing bounded the sum. A handler that ends in an OutOfMemoryError leaves its request without an answer, and the loop stands while the collector finds nothing to free.

Fix: MemoryBudget. What is held for clients (incomplete commands, undelivered bytes, unsent responses) may be an eighth of the heap that the process has. Beyond it, incomplete commands are answered "busy" and their connections ended, first those that have stopped for 0.1 s or more, the longest stopped first, then the largest; the last byte of such a command was not received, so that it was not accepted. What was accepted is never shed. A RecordSplitter that has ended drops its buffer.

--- a/src/test/java/pathgw/server/FleetSizeTest.java
+++ b/src/test/java/pathgw/server/FleetSizeTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import pathgw.algorithm.MemoryBudget;
 import pathgw.client.ClientConnection;
 import pathgw.codec.MetaCommand;
 import pathgw.config.Address;
@@ -111,9 +112,10 @@
   private void sendReads(
       int count, Config config, EventLoopTimers timers, RequestHandler requestHandler) {
     RateLimitedLog limitedLog = new RateLimitedLog(System.getLogger("test"), timers);
+    MemoryBudget memory = new MemoryBudget(Long.MAX_VALUE, timers::now);
     for (int i = 0; i < count; i++) {
       FakeConnection client = new FakeConnection();
-      new ClientConnection(client, config, timers, requestHandler, limitedLog, c -> {});
+      new ClientConnection(client, config, timers, requestHandler, limitedLog, memory, c -> {});
       client.deliver("mg k" + i + " v Oa" + i + " Pc=read,t=one,d=480\r\n");
     }
   }
