Bound the memory for incomplete replies, and give up the largest beyond it

Cause: each attempt collects up to 1 MiB of a body, in buffers that grow by doubling, and nothing bounds the sum: the same class as for clients' commands.

New: largestOfManyEndlessResponsesIsGivenUpOnceMemoryIsUsedUp.

--- a/src/test/java/pathgw/upstream/ConnectionPoolFixture.java
+++ b/src/test/java/pathgw/upstream/ConnectionPoolFixture.java
@@ -43,13 +43,20 @@
 
   protected ConnectionPool pool(ConnectionLimit limit, Supplier<UpstreamCodec> codecFactory) {
     return new ConnectionPool(
-        this::dial, codecFactory, timers, limit, TEST_ADDRESS, MAX_IDLE_TIME, reason -> {});
+        this::dial, codecFactory, timers, limit, TEST_ADDRESS, MAX_IDLE_TIME, memory, reason -> {});
   }
 
   protected ConnectionPool pool(
       Function<Address, Future<Connection>> connector, ConnectionLimit limit) {
     return new ConnectionPool(
-        connector, MetaCodec::new, timers, limit, TEST_ADDRESS, MAX_IDLE_TIME, reason -> {});
+        connector,
+        MetaCodec::new,
+        timers,
+        limit,
+        TEST_ADDRESS,
+        MAX_IDLE_TIME,
+        memory,
+        reason -> {});
   }
 
   protected FakeConnection sendOnNewPool() throws MalformedCommandException {
--- a/src/test/java/pathgw/upstream/OriginConnectionTest.java
+++ b/src/test/java/pathgw/upstream/OriginConnectionTest.java
@@ -1,6 +1,7 @@
 package pathgw.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
@@ -43,6 +44,23 @@
     return (ends.isEmpty() ? "nothing" : ends.remove(0)) + (connection.closed ? " closed" : "");
   }
 
+  @Test
+  void largestOfManyEndlessResponsesIsGivenUpOnceMemoryIsUsedUp() throws Exception {
+    ConnectionLimit limit = new ConnectionLimit(8);
+    for (int i = 0; i < 8; i++) {
+      pool(limit, () -> new HttpOriginCodec(TEST_ADDRESS)).send(attempt());
+      dialled.get(i).deliver("HTTP/1.1 200 OK\r\n\r\n");
+    }
+    for (int round = 0; round < 50 && ends.isEmpty(); round++) {
+      for (int i = 0; i < 8; i++) {
+        dialled.get(i).deliver("x".repeat(i == 3 ? 20_000 : 10_000));
+      }
+    }
+    assertEquals(List.of("PROTOCOL_ERROR"), ends);
+    assertTrue(dialled.get(3).closed);
+    assertTrue(memory.totalBytes() <= CLIENT_MEMORY_BYTES);
+  }
+
   @Test
   void readsAndWritesAreSentToOriginAsHttpRequests() throws MalformedCommandException {
     assertEquals("ANSWERED VA 2 Oa1\r\nhi\r\n", attemptAtOrigin(READ, OK));
