--- a/src/test/java/pathgw/upstream/OriginConnectionTest.java
+++ b/src/test/java/pathgw/upstream/OriginConnectionTest.java
@@ -184,6 +184,26 @@
         ends);
   }
 
+  @Test
+  void responseThatIsHeldBackEndsOnceWhateverEndsItsWait() throws MalformedCommandException {
+    Attempt cancelled = attempt(READ);
+    pool(new ConnectionLimit(1), () -> new HttpOriginCodec(TEST_ADDRESS)).send(cancelled);
+    dialled.get(0).deliver(OK);
+    cancelled.cancel();
+    ConnectionPool retired = pool(new ConnectionLimit(1), () -> new HttpOriginCodec(TEST_ADDRESS));
+    retired.send(attempt(READ));
+    dialled.get(1).deliver(OK);
+    retired.retire();
+    FakeConnection timedOut = sendToOrigin(READ);
+    advanceMillis(QUIET_MS);
+    advanceMillis(400 - QUIET_MS - 1);
+    timedOut.deliver(OK);
+    advanceMillis(1);
+    advanceMillis(QUIET_MS);
+    assertEquals(List.of("CANCELLED", "ANSWERED VA 2 Oa1\r\nhi\r\n", "TIMED_OUT"), ends);
+    assertTrue(dialled.get(0).closed && dialled.get(1).closed && timedOut.closed);
+  }
+
   /** Its result stands in the head, whose end is a line end. */
   @Test
   void errorIsValidWhateverFollows() throws MalformedCommandException {
