--- a/src/main/java/pathgw/client/ClientCloseSummary.java
+++ b/src/main/java/pathgw/client/ClientCloseSummary.java
@@ -17,6 +17,11 @@
     long unsentBytes,
     long undeliveredBytes,
     long discardedBytes) {
+  /** The summary of a connection that was closed before anything was read from it. */
+  public static ClientCloseSummary unread(String remoteAddress) {
+    return new ClientCloseSummary(remoteAddress, ClientCloseReason.REJECTED_UNREAD, 0, 0, 0, 0);
+  }
+
   /** Whether the proxy closed the connection over commands, or over parts of responses. */
   public boolean isLossByProxy() {
     boolean isLoss = unansweredCommands > 0 || unsentBytes > 0 || undeliveredBytes > 0;
