Ask for the memory of a command before its value is read, and reject it if there is none

Cause: only incomplete commands counted against the memory budget. A complete one is kept until its last attempt has ended, and nothing bounded the sum of those: 18 MB of heap with 96 MB are 400 such writes no matter how they are copied.

Why it works: memory is taken before it is filled, so the sum can't pass the limit, whatever the origin's pace.

--- a/src/main/java/pathgw/algorithm/MemoryBudget.java
+++ b/src/main/java/pathgw/algorithm/MemoryBudget.java
@@ -6,30 +6,43 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 /**
- * Bounds the sum of the bytes that several holders keep in memory. When it is exceeded, holders are
- * shed until it is kept again: first those that have stopped making progress, the longest stopped
- * first, then the largest.
+ * Bounds the sum of the bytes that are kept in memory for others. Whoever knows in advance how many
+ * bytes it is going to keep asks first, and keeps nothing if they are not admitted. Bytes whose
+ * number is not known in advance are recorded as they come, and while the limit is exceeded holders
+ * are shed: first those that have stopped making progress, the longest stopped first, then the
+ * largest.
  */
 public final class MemoryBudget {
   /** Something that keeps bytes in memory; told from others by its identity. */
   public interface Holder {
-    /** Whether the bytes can be dropped without losing anything that has been accepted. */
-    boolean canBeShed();
+    /** The bytes that it keeps now. */
+    long heldBytes();
+
+    /** The bytes among them that can be dropped without losing anything that was accepted. */
+    long sheddableBytes();
 
     /** When bytes were last added. */
     Duration lastProgressAt();
 
-    /** Drops the bytes, and does not ask for more. */
+    /** Drops the bytes that can be shed, and does not ask for more of them. */
     void shed();
   }
 
   /** A holder without progress for this long has stopped. */
   private static final Duration STALL_TIME = Duration.ofMillis(100);
 
-  private static final Comparator<Map.Entry<Holder, Long>> BY_PROGRESS =
-      Comparator.comparing(entry -> entry.getKey().lastProgressAt());
+  /** More bytes than this are only admitted if they leave room for fewer. */
+  private static final int MAX_SMALL_BYTES = 8 * 1024;
+
+  /** The limit divided by this is left to those who ask for few bytes. */
+  private static final int SMALL_SHARE_DIVISOR = 4;
+
+  private static final Comparator<Holder> BY_PROGRESS =
+      Comparator.comparing(Holder::lastProgressAt);
+  private static final Comparator<Holder> BY_SIZE = Comparator.comparing(Holder::sheddableBytes);
 
   private final long limitBytes;
   private final Supplier<Duration> clock;
@@ -47,47 +60,91 @@
     this.clock = clock;
   }
 
-  /** The bytes that all holders keep. */
+  /** The bytes that are kept. */
   public long totalBytes() {
     return totalBytes;
   }
 
   /**
-   * Records how many bytes a holder keeps now. May shed holders, also this one.
+   * Whether so many bytes more may be kept. Sheds holders that have stopped if that makes the room.
+   */
+  public boolean admits(long bytes) {
+    while (!fits(bytes)) {
+      Optional<Holder> stopped = longestStopped();
+      if (stopped.isEmpty()) {
+        return false;
+      }
+      shed(stopped.get());
+    }
+    return true;
+  }
+
+  private static boolean isSmall(long bytes) {
+    return bytes <= MAX_SMALL_BYTES;
+  }
+
+  private boolean fits(long bytes) {
+    long reserved = isSmall(bytes) ? 0 : limitBytes / SMALL_SHARE_DIVISOR;
+    return totalBytes + bytes <= limitBytes - reserved;
+  }
+
+  /** Records bytes that have been admitted and that no holder accounts for. */
+  public void add(long bytes) {
+    totalBytes += bytes;
+  }
+
+  /** Records that bytes that were added are no longer kept. */
+  public void release(long bytes) {
+    totalBytes -= bytes;
+  }
+
+  /** Records how many bytes a holder keeps now. May shed holders, also this one. */
+  public void update(Holder holder) {
+    update(holder, 0);
+  }
+
+  /**
+   * Records how many bytes a holder keeps now after it has given bytes away, or taken them over.
+   * May shed holders, also this one.
    *
-   * @param bytes 0 once the holder keeps nothing
+   * @param addedBytes the bytes that no holder accounts for any more; negative if this holder now
+   *     accounts for bytes that were added before
    */
-  public void update(Holder holder, long bytes) {
-    set(holder, bytes);
-    boolean mayShed = true;
-    while (mayShed && totalBytes > limitBytes) {
-      Optional<Holder> victim = chooseVictim();
-      victim.ifPresent(this::shed);
-      mayShed = victim.isPresent();
+  public void update(Holder holder, long addedBytes) {
+    totalBytes += addedBytes;
+    record(holder);
+    while (totalBytes > limitBytes) {
+      Optional<Holder> victim = longestStopped().or(this::largest);
+      if (victim.isEmpty()) {
+        return;
+      }
+      shed(victim.get());
     }
   }
 
-  private void set(Holder holder, long bytes) {
+  private void record(Holder holder) {
+    long bytes = holder.heldBytes();
     Long before = bytes == 0 ? heldBytes.remove(holder) : heldBytes.put(holder, bytes);
     totalBytes += bytes - (before == null ? 0 : before);
   }
 
   private void shed(Holder holder) {
-    set(holder, 0);
     holder.shed();
+    record(holder);
   }
 
-  private Optional<Holder> chooseVictim() {
-    Optional<Map.Entry<Holder, Long>> longestStopped =
-        heldBytes.entrySet().stream().filter(e -> e.getKey().canBeShed()).min(BY_PROGRESS);
+  private Stream<Holder> sheddable() {
+    return heldBytes.keySet().stream().filter(holder -> holder.sheddableBytes() > 0);
+  }
+
+  private Optional<Holder> longestStopped() {
     Duration stoppedBefore = clock.get().minus(STALL_TIME);
-    if (longestStopped.isEmpty()
-        || longestStopped.get().getKey().lastProgressAt().compareTo(stoppedBefore) <= 0) {
-      return longestStopped.map(Map.Entry::getKey);
-    }
-    return heldBytes.entrySet().stream()
-        .filter(entry -> entry.getKey().canBeShed())
-        .max(Map.Entry.comparingByValue())
-        .map(Map.Entry::getKey);
+    return sheddable()
+        .filter(holder -> holder.lastProgressAt().compareTo(stoppedBefore) <= 0)
+        .min(BY_PROGRESS);
+  }
+
+  private Optional<Holder> largest() {
+    return sheddable().max(BY_SIZE);
   }
 }
