End a draining connection only once no command lies unread in the kernel

Cause: a draining connection ended as soon as all that had been read was answered. With 16 responses pending nothing is read, so the rest of a burst lies in the kernel, and ClientConnection.flush ended before ReadingPause (now ClientInput) had read again. From then on LingeringShutdown discards what it reads.

Nothing pending, the connection is read for one more iteration of the event loop before it ends; after a pause of reading 30 ms must pass without bytes, since a client may have written more than the kernel takes; the rest of an incomplete command is waited for while it comes (100 ms between bytes, 0.5 s in all). Shutdown, idle time and room for others go the same way.

Why it works: an iteration that began after the last response was written has asked the kernel for everything that lay there; what comes later crosses the end.

--- a/src/main/java/pathgw/client/ClientInput.java
+++ b/src/main/java/pathgw/client/ClientInput.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import pathgw.algorithm.Durations;
 import pathgw.transport.Connection;
 import pathgw.transport.EventLoopTimers;
 
@@ -16,11 +17,33 @@
     void inputRead();
   }
 
+  /**
+   * For how long nothing must have come from a client, once reading was paused, until all that it
+   * has written can be taken for received: it may have written more than the kernel takes, and the
+   * rest is on its way only since reading was resumed.
+   */
+  private static final Duration SETTLE_TIME = Duration.ofMillis(30);
+
+  /** For how long further bytes of an incomplete command are waited for. */
+  private static final Duration MAX_PAUSE_WITHIN_COMMAND = Duration.ofMillis(100);
+
+  /** A client that takes longer than this for one command is not waited for. */
+  private static final Duration MAX_COMMAND_DURATION = Duration.ofMillis(500);
+
   private final Connection connection;
   private final EventLoopTimers timers;
   private final Owner owner;
   private final CommandReader commands;
   private Duration lastReceivedAt;
+  private long receiveCount;
+
+  /** Whether bytes that the client had written may have been on their way when reading resumed. */
+  private boolean backlogged;
+
+  private Duration resumedAt = Duration.ZERO;
+
+  /** When the first bytes of an incomplete command were received, or reading was resumed. */
+  private Duration partialCommandSince = Duration.ZERO;
 
   /** Whether too many responses are pending. */
   private boolean paused;
@@ -77,6 +100,32 @@
     return lastReceivedAt;
   }
 
+  /** How often bytes have been received. */
+  long receiveCount() {
+    return receiveCount;
+  }
+
+  /**
+   * When all that the client has written so far can be taken for received, if nothing is received
+   * until then.
+   */
+  Duration settledAt() {
+    if (hasPartialCommand()) {
+      return lastReceivedAt.plus(MAX_PAUSE_WITHIN_COMMAND);
+    }
+    return backlogged ? quietSince().plus(SETTLE_TIME) : Duration.ZERO;
+  }
+
+  /** Whether a command has been incomplete for so long that its rest is not waited for. */
+  boolean isStuckInCommand() {
+    return hasPartialCommand()
+        && partialCommandSince.plus(MAX_COMMAND_DURATION).compareTo(timers.now()) <= 0;
+  }
+
+  private Duration quietSince() {
+    return Durations.later(lastReceivedAt, resumedAt);
+  }
+
   // Reading.
 
   /** Whether nothing is read until responses have been sent. */
@@ -84,6 +133,11 @@
     return paused;
   }
 
+  /** Whether no further command is read. */
+  boolean isEnded() {
+    return commands.isEnded();
+  }
+
   /** Whether commands are being read. */
   boolean isReading() {
     return reading;
@@ -96,8 +150,18 @@
 
   /** Handles received bytes. */
   void receive(Buffer bytes) {
-    lastReceivedAt = timers.now();
+    Duration now = timers.now();
+    if (quietSince().plus(SETTLE_TIME).compareTo(now) <= 0) {
+      backlogged = false;
+    }
+    lastReceivedAt = now;
+    receiveCount++;
+    long commandsBefore = commands.count();
+    boolean isBetweenCommands = !hasPartialCommand();
     read(() -> commands.receive(bytes));
+    if (isBetweenCommands || commands.count() > commandsBefore) {
+      partialCommandSince = now;
+    }
   }
 
   /** Reads no further command until {@link #resume}. */
@@ -127,10 +191,13 @@
       pausedFor = timers.now().minus(pausedAt);
       read(commands::resume);
       pausedFor = Duration.ZERO;
+      partialCommandSince = timers.now();
     } finally {
       resuming = false;
     }
     if (!paused) {
+      backlogged = true;
+      resumedAt = timers.now();
       connection.resume();
     }
   }
--- a/src/test/java/pathgw/soak/PipelinedClients.java
+++ b/src/test/java/pathgw/soak/PipelinedClients.java
@@ -62,12 +62,14 @@
       socket.closeHandler(closed -> end());
     }
 
+    /** Prepares commands that are sent at once. */
+    Batch prepare(RequestClass requestClass, int count, int valueBytes) throws Exception {
+      return new Batch(this, newRequests(requestClass, count), valueBytes);
+    }
+
     /** Sends commands at once. */
     void send(RequestClass requestClass, int count, int valueBytes) throws Exception {
-      List<ClientRequest> batch = newRequests(requestClass, count);
-      Buffer bytes = Buffer.buffer();
-      batch.forEach(request -> bytes.appendString(request.command(valueBytes)));
-      loop.runOnContext(now -> write(batch, bytes));
+      prepare(requestClass, count, valueBytes).send();
     }
 
     private void write(List<ClientRequest> batch, Buffer bytes) {
@@ -122,6 +124,28 @@
     }
   }
 
+  /** Commands for one connection. */
+  final class Batch {
+    private final Connection connection;
+    private final List<ClientRequest> batch;
+    private final Buffer bytes = Buffer.buffer();
+
+    private Batch(Connection connection, List<ClientRequest> batch, int valueBytes) {
+      this.connection = connection;
+      this.batch = batch;
+      batch.forEach(request -> bytes.appendString(request.command(valueBytes)));
+    }
+
+    /** Sends the commands at once. */
+    void send() {
+      loop.runOnContext(
+          now -> {
+            batch.forEach(request -> request.sentAtNanos = System.nanoTime());
+            connection.write(batch, bytes);
+          });
+    }
+  }
+
   /** Opens a connection. */
   Connection connect() throws Exception {
     return client
@@ -138,7 +162,6 @@
       ClientRequest request =
           new ClientRequest(idPrefix + ++requestCount, requestClass, requestClass.longestTimeoutMs);
       request.pipelined = true;
-      request.sentAtNanos = System.nanoTime();
       batch.add(request);
     }
     requests.addAll(batch);
