Shed the value of an incomplete command instead of ending its connection

Cause: IncompleteCommand.shed stopped the parser and drained the connection, so that commands which the kernel had accepted were discarded. It chose values that were still coming, since one counted as stopped after 100 ms without bytes also when the event loop had not read, and otherwise the largest, which is nearly complete.

Change: shedding drops the value; the rest is read and dropped, the command is rejected once its end has come, and what is behind it is handled. A value has stopped after 100 ms without bytes, or after 0.6 s in all, and never while the loop is late.

Why it works: the framing of the connection is kept whatever becomes of one command.

--- a/src/main/java/pathgw/client/ClientInput.java
+++ b/src/main/java/pathgw/client/ClientInput.java
@@ -95,6 +95,22 @@
     return commands.heldValueBytes();
   }
 
+  /** Drops the value of an incomplete write, which is rejected once its rest has come. */
+  void dropValue() {
+    commands.dropValue();
+  }
+
+  /**
+   * When the client last sent something of an incomplete command that it does not take too long
+   * for. Says nothing while the event loop is late, since bytes may then be unread.
+   */
+  Duration lastProgressAt() {
+    if (!timers.hasCaughtUp()) {
+      return timers.now();
+    }
+    return Durations.earlier(lastReceivedAt, partialCommandSince.plus(MAX_COMMAND_DURATION));
+  }
+
   /** When bytes were last received; before that, when the connection was accepted. */
   Duration lastReceivedAt() {
     return lastReceivedAt;
--- a/src/test/java/pathgw/soak/LongWriteIT.java
+++ b/src/test/java/pathgw/soak/LongWriteIT.java
@@ -32,6 +32,7 @@
   private final SoakCluster cluster = new SoakCluster(vertx, random);
   private ProxyProcess proxy;
   private PipelinedClients clients;
+  private BadClients badClients;
 
   @BeforeEach
   void start() throws Exception {
@@ -40,11 +41,13 @@
     proxy.awaitServing();
     Thread.sleep(1000);
     clients = new PipelinedClients(cluster, proxy.port, "w");
+    badClients = new BadClients(proxy.port);
   }
 
   @AfterEach
   void end() throws Exception {
     proxy.kill();
+    badClients.stop();
     clients.stop();
     vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
@@ -102,4 +105,27 @@
     sendInACrowd(40, 16);
     assertNothingLost();
   }
+
+  /** Guards against long writes that have no room beside those of clients that stopped. */
+  @Test
+  void longWritesBesideHalfWrittenOnesAreAnswered() throws Exception {
+    cluster.onLoop(() -> cluster.setOriginDelay(100));
+    badClients.stopWithinValue(200, 40_000);
+    sendOneAfterAnother(130, 6, 20);
+    assertNothingLost();
+  }
+
+  /** Guards against commands that are lost behind one whose value there is no memory for. */
+  @Test
+  void shortCommandsBehindLongWritesOfManyClientsAreAnswered() throws Exception {
+    List<PipelinedClients.Connection> opened = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      opened.add(clients.connect());
+    }
+    for (PipelinedClients.Connection connection : opened) {
+      connection.send(RequestClass.ROSTER, 3, VALUE_BYTES);
+      connection.send(RequestClass.READ, 2, 0);
+    }
+    assertNothingLost();
+  }
 }
