Let a write wait up to 100 ms for memory before it is rejected

Change: MemoryAdmission. A write for which there is no room waits in turn, its client is not read meanwhile, and the time counts as unread time against its deadline. After 100 ms it is rejected, and so is what its client has sent behind it until there is room, so that a burst of hundreds doesn't wait for each. A drain, or the end of the connection, ends the wait.

--- a/src/main/java/pathgw/algorithm/MemoryBudget.java
+++ b/src/main/java/pathgw/algorithm/MemoryBudget.java
@@ -3,17 +3,19 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 /**
  * Bounds the sum of the bytes that are kept in memory for others. Whoever knows in advance how many
- * bytes it is going to keep asks first, and keeps nothing if they are not admitted. Bytes whose
- * number is not known in advance are recorded as they come, and while the limit is exceeded holders
- * are shed: first those that have stopped making progress, the longest stopped first, then the
- * largest.
+ * bytes it is going to keep asks first, and waits or keeps nothing if they are not admitted. Bytes
+ * whose number is not known in advance are recorded as they come, and while the limit is exceeded
+ * holders are shed: first those that have stopped making progress, the longest stopped first, then
+ * the largest.
  */
 public final class MemoryBudget {
   /** Something that keeps bytes in memory; told from others by its identity. */
@@ -31,6 +33,17 @@
     void shed();
   }
 
+  /** Waits until bytes are admitted. */
+  public static final class Waiter {
+    private final long bytes;
+    private final Runnable onAdmitted;
+
+    private Waiter(long bytes, Runnable onAdmitted) {
+      this.bytes = bytes;
+      this.onAdmitted = onAdmitted;
+    }
+  }
+
   /** A holder without progress for this long has stopped. */
   private static final Duration STALL_TIME = Duration.ofMillis(100);
 
@@ -47,6 +60,7 @@
   private final long limitBytes;
   private final Supplier<Duration> clock;
   private final Map<Holder, Long> heldBytes = new LinkedHashMap<>();
+  private final Set<Waiter> waiters = new LinkedHashSet<>();
   private long totalBytes;
 
   /**
@@ -76,7 +90,7 @@
       }
       shed(stopped.get());
     }
-    return true;
+    return isSmall(bytes) || waiters.isEmpty();
   }
 
   private static boolean isSmall(long bytes) {
@@ -88,6 +102,32 @@
     return totalBytes + bytes <= limitBytes - reserved;
   }
 
+  /**
+   * Waits behind others until so many bytes may be kept.
+   *
+   * @param onAdmitted runs once the bytes have been admitted, and added
+   */
+  public Waiter await(long bytes, Runnable onAdmitted) {
+    Waiter waiter = new Waiter(bytes, onAdmitted);
+    waiters.add(waiter);
+    return waiter;
+  }
+
+  /** Ends the wait of one whose bytes have not been admitted. */
+  public void cancel(Waiter waiter) {
+    waiters.remove(waiter);
+    admitWaiters();
+  }
+
+  private void admitWaiters() {
+    while (!waiters.isEmpty() && fits(waiters.iterator().next().bytes)) {
+      Waiter waiter = waiters.iterator().next();
+      waiters.remove(waiter);
+      totalBytes += waiter.bytes;
+      waiter.onAdmitted.run();
+    }
+  }
+
   /** Records bytes that have been admitted and that no holder accounts for. */
   public void add(long bytes) {
     totalBytes += bytes;
@@ -96,6 +136,7 @@
   /** Records that bytes that were added are no longer kept. */
   public void release(long bytes) {
     totalBytes -= bytes;
+    admitWaiters();
   }
 
   /** Records how many bytes a holder keeps now. May shed holders, also this one. */
@@ -126,6 +167,7 @@
     long bytes = holder.heldBytes();
     Long before = bytes == 0 ? heldBytes.remove(holder) : heldBytes.put(holder, bytes);
     totalBytes += bytes - (before == null ? 0 : before);
+    admitWaiters();
   }
 
   private void shed(Holder holder) {
--- a/src/main/java/pathgw/client/ArrivalEstimate.java
+++ b/src/main/java/pathgw/client/ArrivalEstimate.java
@@ -54,8 +54,9 @@
    * Returns what is known of a command that is handled now.
    *
    * @param readingPausedFor for how long reading was paused before it
+   * @param waitedForMemory for how long it was not read on for want of memory
    */
-  RequestReceipt receipt(MetaCommand command, Duration readingPausedFor) {
+  RequestReceipt receipt(MetaCommand command, Duration readingPausedFor, Duration waitedForMemory) {
     Duration connectionAge = timers.now().minus(acceptedAt);
     Duration unreadFor = timers.lag(acceptedAt);
     Duration readAfterAccept = connectionAge.minus(unreadFor);
@@ -67,7 +68,7 @@
     hasReceivedRequest = true;
     return new RequestReceipt(
         command.clientTimeout(),
-        unreadFor,
+        unreadFor.plus(waitedForMemory),
         connectionAge,
         readingPausedFor,
         connection.isClosedByPeer());
--- a/src/main/java/pathgw/client/ClientInput.java
+++ b/src/main/java/pathgw/client/ClientInput.java
@@ -2,19 +2,24 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import java.util.function.Function;
 import pathgw.algorithm.Durations;
+import pathgw.algorithm.MemoryBudget;
 import pathgw.transport.Connection;
 import pathgw.transport.EventLoopTimers;
 
 /**
  * What one client has sent and what has not been handled of it. Decides when more is read from the
- * client: not while too many responses are pending.
+ * client: not while too many responses are pending, and not while a command waits for memory.
  */
 final class ClientInput {
   /** The connection that the input belongs to. */
   interface Owner {
     /** Commands have been read; writes the responses that are complete. */
     void inputRead();
+
+    /** Bytes that were added to the memory budget are accounted for by this input from now on. */
+    void takenOver(long addedBytes);
   }
 
   /**
@@ -33,6 +38,7 @@
   private final Connection connection;
   private final EventLoopTimers timers;
   private final Owner owner;
+  private final MemoryAdmission admission;
   private final CommandReader commands;
   private Duration lastReceivedAt;
   private long receiveCount;
@@ -62,14 +68,19 @@
   /**
    * Creates the input of a connection from which nothing has been read.
    *
-   * @param handler receives the commands
+   * @param handler creates what receives the commands, given the admission of writes
    */
   ClientInput(
-      Connection connection, EventLoopTimers timers, Owner owner, CommandReader.Handler handler) {
+      Connection connection,
+      EventLoopTimers timers,
+      MemoryBudget memory,
+      Owner owner,
+      Function<MemoryAdmission, CommandReader.Handler> handler) {
     this.connection = connection;
     this.timers = timers;
     this.owner = owner;
-    commands = new CommandReader(handler);
+    admission = new MemoryAdmission(memory, timers, new AwaitedWrite());
+    commands = new CommandReader(handler.apply(admission));
     lastReceivedAt = timers.now();
   }
 
@@ -82,7 +93,7 @@
 
   /** Whether no bytes have been read that wait to be handled. */
   boolean isHandled() {
-    return connection.undeliveredBytes() == 0;
+    return connection.undeliveredBytes() == 0 && !admission.isWaiting();
   }
 
   /** The number of bytes that are kept. */
@@ -144,9 +155,9 @@
 
   // Reading.
 
-  /** Whether nothing is read until responses have been sent. */
+  /** Whether nothing is read until responses have been sent, or memory is free. */
   boolean isPaused() {
-    return paused;
+    return paused || admission.isWaiting();
   }
 
   /** Whether no further command is read. */
@@ -178,6 +189,9 @@
     if (isBetweenCommands || commands.count() > commandsBefore) {
       partialCommandSince = now;
     }
+    if (admission.isWaiting()) {
+      connection.pause();
+    }
   }
 
   /** Reads no further command until {@link #resume}. */
@@ -211,7 +225,11 @@
     } finally {
       resuming = false;
     }
-    if (!paused) {
+    resumeConnection();
+  }
+
+  private void resumeConnection() {
+    if (!isPaused()) {
       backlogged = true;
       resumedAt = timers.now();
       connection.resume();
@@ -244,9 +262,37 @@
     owner.inputRead();
   }
 
+  /** Refuses the write that waits for memory, if any, and reads on. */
+  void stopWaitingForMemory() {
+    admission.stopWaiting();
+  }
+
   /** Reads no further command, and drops what has not been handled. */
   void end() {
     paused = false;
     commands.end();
+    admission.cancel();
+  }
+
+  /** Reads the write that had to wait for memory, or drops it. */
+  private final class AwaitedWrite implements MemoryAdmission.Listener {
+    @Override
+    public void admitted(long addedBytes) {
+      commands.decide(MemoryAdmission.Decision.ADMITTED);
+      owner.takenOver(addedBytes);
+      readOn();
+    }
+
+    @Override
+    public void refused() {
+      commands.decide(MemoryAdmission.Decision.REFUSED);
+      readOn();
+    }
+
+    private void readOn() {
+      read(commands::readOn);
+      partialCommandSince = timers.now();
+      resumeConnection();
+    }
   }
 }
--- a/src/main/java/pathgw/client/CommandDispatcher.java
+++ b/src/main/java/pathgw/client/CommandDispatcher.java
@@ -25,8 +25,12 @@
     /** Adds the response to the command that is being dispatched behind those of earlier ones. */
     PendingResponse addResponse();
 
-    /** What is known of the arrival of a command that is dispatched now. */
-    RequestReceipt receipt(MetaCommand command);
+    /**
+     * What is known of the arrival of a command that is dispatched now.
+     *
+     * @param waitedForMemory for how long it was not read for want of memory
+     */
+    RequestReceipt receipt(MetaCommand command, Duration waitedForMemory);
 
     /** Bytes that the connection kept, or was going to keep, are kept for a request from now on. */
     void passedOn(long bytes);
@@ -50,13 +54,19 @@
   private final Config config;
   private final RequestHandler requestHandler;
   private final MemoryBudget memory;
+  private final MemoryAdmission admission;
 
   CommandDispatcher(
-      Client client, Config config, RequestHandler requestHandler, MemoryBudget memory) {
+      Client client,
+      Config config,
+      RequestHandler requestHandler,
+      MemoryBudget memory,
+      MemoryAdmission admission) {
     this.client = client;
     this.config = config;
     this.requestHandler = requestHandler;
     this.memory = memory;
+    this.admission = admission;
   }
 
   private static long memoryNeeded(Buffer line, int valueLength) {
@@ -74,8 +84,10 @@
   }
 
   @Override
-  public boolean admits(Buffer line, int valueLength) {
-    return client.isServing() && memory.admits(memoryNeeded(line, valueLength));
+  public MemoryAdmission.Decision admit(Buffer line, int valueLength) {
+    return client.isServing()
+        ? admission.request(memoryNeeded(line, valueLength))
+        : MemoryAdmission.Decision.REFUSED;
   }
 
   @Override
@@ -96,8 +108,8 @@
   @Override
   public void read(Buffer line) {
     PendingResponse response = client.addResponse();
-    if (admits(line, 0)) {
-      handle(line, NO_VALUE, response);
+    if (client.isServing() && memory.admits(memoryNeeded(line, 0))) {
+      handle(line, NO_VALUE, response, Duration.ZERO);
     } else {
       reject(response);
     }
@@ -107,19 +119,23 @@
   public void write(Buffer line, Buffer value) {
     PendingResponse response = client.addResponse();
     if (client.isServing()) {
-      handle(line, value, response);
+      handle(line, value, response, admission.lastWait());
     } else {
       reject(response);
     }
   }
 
-  private void handle(Buffer line, Buffer value, PendingResponse response) {
+  private void handle(
+      Buffer line, Buffer value, PendingResponse response, Duration waitedForMemory) {
     long memoryNeeded = memoryNeeded(line, value.length());
     try {
       MetaCommand command = MetaCommandParser.parse(line, value, config);
       client.passedOn(memoryNeeded);
       requestHandler.handle(
-          command, response, client.receipt(command), () -> memory.release(memoryNeeded));
+          command,
+          response,
+          client.receipt(command, waitedForMemory),
+          () -> memory.release(memoryNeeded));
     } catch (MalformedCommandException e) {
       response.complete(MetaResponses.malformed(e.getMessage()));
     }
--- a/src/test/java/pathgw/algorithm/MemoryBudgetTest.java
+++ b/src/test/java/pathgw/algorithm/MemoryBudgetTest.java
@@ -118,6 +118,24 @@
     assertTrue(budget.admits(40_000));
   }
 
+  @Test
+  void thoseWhoWaitAreAdmittedInTurn() {
+    List<String> admitted = new ArrayList<>();
+    budget.add(70_000);
+    budget.await(60_000, () -> admitted.add("large"));
+    MemoryBudget.Waiter left = budget.await(10_000, () -> admitted.add("left"));
+    budget.await(20_000, () -> admitted.add("last"));
+    assertFalse(budget.admits(9_000), "it would overtake those who wait");
+    budget.cancel(left);
+    budget.release(50_000);
+    assertEquals(List.of(), admitted);
+    budget.release(10_000);
+    assertEquals(List.of("large"), admitted);
+    assertEquals(70_000, budget.totalBytes());
+    budget.release(60_000);
+    assertEquals(List.of("large", "last"), admitted);
+  }
+
   @Test
   void roomIsMadeBySheddingHoldersThatHaveStoppedOnly() {
     update(holder("progressing", true, 0), 40_000);
