End the process at once when it is out of memory

Cause: an OutOfMemoryError can come up at any allocation in the event loop; the library logs it and goes on, and a timer or a response that was lost with it is never made up for.

Change: -XX:+ExitOnOutOfMemoryError in deploy/run.sh for the heap; OutOfMemoryExit for memory outside the heap, whose errors are made by Java code that this option does not see. Both end with status 3 and a line in the log.

Why it works: no code runs after the error, and clients and the load balancer see the process die.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -32,7 +32,7 @@
 # intended address, because relocating it means patching every pointer in it; the native epoll library is already unpacked
 # in target/native; and the logger delegate is named, so that Vert.x does not search for other logging libraries.
 exec java -Xms${heap}m -Xmx${heap}m -Xmn$((heap * 2 / 5))m -XX:MaxDirectMemorySize=${direct}m -XX:+AlwaysPreTouch \
-    -XX:+UseSerialGC -XX:+UnlockDiagnosticVMOptions -XX:ArchiveRelocationMode=0 \
+    -XX:+ExitOnOutOfMemoryError -XX:+UseSerialGC -XX:+UnlockDiagnosticVMOptions -XX:ArchiveRelocationMode=0 \
     -XX:SharedArchiveFile=target/pathgw.jsa -Xlog:cds=off,cds+dynamic=off -XX:-UsePerfData \
     -XX:ActiveProcessorCount=1 -XX:TieredStopAtLevel=1 -XX:ThreadPriorityPolicy=1 -XX:CompilerThreadPriority=10 \
     -Xss512k -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m \
--- a/src/main/java/pathgw/transport/VertxTransportAcceptedConnection.java
+++ b/src/main/java/pathgw/transport/VertxTransportAcceptedConnection.java
@@ -137,6 +137,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    OutOfMemoryExit.check(cause);
     if (cause instanceof IOException) {
       LOG.log(Level.DEBUG, () -> remoteAddress + ": connection error: " + cause);
     } else {
@@ -169,7 +170,13 @@
   public Future<Void> write(Buffer bytes) {
     PromiseInternal<Void> written = context.promise();
     var unused = channel.writeAndFlush(((BufferInternal) bytes).getByteBuf()).addListener(written);
-    return written.future().onFailure(e -> broken = true);
+    return written
+        .future()
+        .onFailure(
+            e -> {
+              OutOfMemoryExit.check(e);
+              broken = true;
+            });
   }
 
   @Override
--- a/src/main/java/pathgw/transport/VertxTransportListener.java
+++ b/src/main/java/pathgw/transport/VertxTransportListener.java
@@ -163,6 +163,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    OutOfMemoryExit.check(cause);
     Channel server = ctx.channel();
     if (!server.isOpen()) {
       return;
