--- /dev/null
+++ b/src/test/java/pathgw/client/ClientMemoryTest.java
@@ -0,0 +1,113 @@
+package pathgw.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import pathgw.fixture.NetworkFixture;
+import pathgw.transport.FakeConnection;
+
+/** Tests what becomes of commands and responses for which there is no memory. */
+class ClientMemoryTest extends NetworkFixture {
+  private static final String READINESS_RESPONSE = "MN\r\n";
+
+  /** Waits until a draining connection that owes nothing has found that nothing is unread. */
+  private void awaitEnd() {
+    runForMillis(50);
+  }
+
+  @Test
+  void valueOfAClientThatStopsIsDroppedOnceMemoryIsUsedUpAndItsCommandRejected() {
+    FakeConnection stopped = client();
+    stopped.deliver("mn\r\nms k 65536 Oa Pc=write,t=one,d=300\r\n" + "v".repeat(40_000));
+    ClientConnection stoppedClient = client;
+    advanceMillis(200);
+    for (long held = 40_000; held < CLIENT_MEMORY_BYTES; held += 40_000) {
+      client().deliver("ms k 65536 Oa Pc=write,t=one,d=300\r\n" + "v".repeat(40_000));
+    }
+    assertEquals(0, stoppedClient.heldBytes());
+    assertTrue(memory.totalBytes() <= CLIENT_MEMORY_BYTES);
+    assertEquals(READINESS_RESPONSE, stopped.written.toString());
+    stopped.deliver("v".repeat(25_536) + "\r\nmn\r\n");
+    assertEquals(
+        READINESS_RESPONSE + "SERVER_ERROR busy 1500\r\n" + READINESS_RESPONSE,
+        stopped.written.toString(),
+        "the commands behind it were accepted");
+    assertFalse(stopped.outputShutDown);
+    client.closeIfClientLeft();
+  }
+
+  /** Guards against complete commands that use up the heap while they wait for the origin. */
+  @Test
+  void writeForWhichThereIsNoMemoryIsRejectedAndTheCommandBehindItIsRead() {
+    FakeConnection socket = client();
+    memory.add(CLIENT_MEMORY_BYTES);
+    String write = "ms k 65536 Oa Pc=write,t=one,d=300\r\n";
+    socket.deliver(write + "v".repeat(10_000));
+    assertTrue(client.readingPaused(), "it waits for memory");
+    assertFalse(client.isIdle(), "it could be evicted");
+    advanceMillis(100);
+    assertEquals(0, client.heldBytes());
+    socket.deliver("v".repeat(55_536) + "\r\nmn\r\n");
+    assertEquals("SERVER_ERROR busy 1500\r\nMN\r\n", socket.written.toString());
+    assertEquals(CLIENT_MEMORY_BYTES, memory.totalBytes());
+    socket.deliver(write + "v".repeat(65_537) + "\n");
+    assertTrue(socket.written.toString().endsWith("CLIENT_ERROR value without its end\r\n"));
+  }
+
+  @Test
+  void writeThatWaitsForMemoryIsReadOnceItIsFree() {
+    setReadyNodes("n1");
+    FakeConnection socket = client();
+    memory.add(CLIENT_MEMORY_BYTES);
+    socket.deliver("ms k 65536 Oa Pc=write,t=one,d=300\r\n" + "v".repeat(65_536) + "\r\n" + READ);
+    assertTrue(client.readingPaused());
+    advanceMillis(40);
+    memory.release(CLIENT_MEMORY_BYTES);
+    advanceMillis(1);
+    assertFalse(client.readingPaused());
+    assertEquals(1, attemptCount(), "the read behind it");
+    assertTrue(memory.totalBytes() < 80_000, "the write is counted once");
+  }
+
+  @Test
+  void writeThatWaitsForMemoryIsRejectedWhenItsConnectionIsDrained() {
+    FakeConnection socket = client();
+    memory.add(CLIENT_MEMORY_BYTES);
+    socket.deliver("ms k 65536 Oa Pc=write,t=one,d=300\r\n" + "v".repeat(65_536) + "\r\nmn\r\n");
+    client.drain(ClientCloseReason.SHUTDOWN);
+    assertEquals("SERVER_ERROR busy\r\nMN\r\n", socket.written.toString());
+    awaitEnd();
+    assertTrue(socket.outputShutDown);
+    assertEquals(CLIENT_MEMORY_BYTES, memory.totalBytes());
+  }
+
+  @Test
+  void readForWhichThereIsNoMemoryIsRejected() {
+    setReadyNodes("n1");
+    FakeConnection socket = client();
+    memory.add(CLIENT_MEMORY_BYTES);
+    socket.deliver(READ);
+    assertEquals("SERVER_ERROR busy 1500\r\n", socket.written.toString());
+    memory.release(CLIENT_MEMORY_BYTES);
+    socket.deliver(READ);
+    assertEquals(1, attemptCount());
+  }
+
+  @Test
+  void memoryOfARequestIsHeldUntilItsLastAttemptHasEnded() {
+    setReadyNodes("n1");
+    FakeConnection socket = client();
+    socket.deliver(READ);
+    long held = memory.totalBytes();
+    assertTrue(held > READ.length(), "the objects of a request take more than its command");
+    dialled.get(0).deliver("VA 2 Oa1\r\nhi\r\n");
+    endIteration();
+    assertEquals(0, memory.totalBytes());
+    socket.deliver(READ);
+    assertEquals(held, memory.totalBytes());
+    socket.reset();
+    assertEquals(0, memory.totalBytes(), "the attempt is cancelled");
+  }
+}
