--- a/src/main/java/pathgw/client/CommandDispatcher.java
+++ b/src/main/java/pathgw/client/CommandDispatcher.java
@@ -55,18 +55,15 @@
   private final RequestHandler requestHandler;
   private final MemoryBudget memory;
   private final MemoryAdmission admission;
+  private final ResponseSizeEstimate responseSize;
 
-  CommandDispatcher(
-      Client client,
-      Config config,
-      RequestHandler requestHandler,
-      MemoryBudget memory,
-      MemoryAdmission admission) {
+  CommandDispatcher(Client client, ClientResources resources, MemoryAdmission admission) {
     this.client = client;
-    this.config = config;
-    this.requestHandler = requestHandler;
-    this.memory = memory;
     this.admission = admission;
+    config = resources.config();
+    requestHandler = resources.requestHandler();
+    memory = resources.memory();
+    responseSize = resources.responseSize();
   }
 
   private static long memoryNeeded(Buffer line, int valueLength) {
@@ -108,8 +105,9 @@
   @Override
   public void read(Buffer line) {
     PendingResponse response = client.addResponse();
-    if (client.isServing() && memory.admits(memoryNeeded(line, 0))) {
-      handle(line, NO_VALUE, response, Duration.ZERO);
+    long memoryNeeded = memoryNeeded(line, 0) + responseSize.expectedBytes();
+    if (client.isServing() && memory.admits(memoryNeeded)) {
+      handle(line, NO_VALUE, response, memoryNeeded, Duration.ZERO);
     } else {
       reject(response);
     }
@@ -119,15 +117,18 @@
   public void write(Buffer line, Buffer value) {
     PendingResponse response = client.addResponse();
     if (client.isServing()) {
-      handle(line, value, response, admission.lastWait());
+      handle(line, value, response, memoryNeeded(line, value.length()), admission.lastWait());
     } else {
       reject(response);
     }
   }
 
   private void handle(
-      Buffer line, Buffer value, PendingResponse response, Duration waitedForMemory) {
-    long memoryNeeded = memoryNeeded(line, value.length());
+      Buffer line,
+      Buffer value,
+      PendingResponse response,
+      long memoryNeeded,
+      Duration waitedForMemory) {
     try {
       MetaCommand command = MetaCommandParser.parse(line, value, config);
       client.passedOn(memoryNeeded);
--- a/src/test/java/pathgw/soak/SlowClientsIT.java
+++ b/src/test/java/pathgw/soak/SlowClientsIT.java
@@ -17,11 +17,12 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Hundreds of clients pipeline requests beside usual ones. The process must stay within its memory,
- * and the usual requests must be answered.
+ * Hundreds of clients write or read slowly, or stop, beside usual requests. The process must stay
+ * within its memory, and the usual requests must be answered.
  */
 @Timeout(60)
 class SlowClientsIT {
@@ -30,6 +31,7 @@
   private static final long USUAL_INTERVAL_MS = 12;
   private static final int USUAL_CONNECTIONS = 20;
   private static final long LONGEST_WAIT_MS = 1800;
+  private static final int VALUE_BYTES = 64_000;
   private static final int PIPELINED = 16;
 
   @TempDir Path folder;
@@ -89,6 +91,49 @@
     assertTrue(proxy.peakMemoryMb() <= memoryMb, proxy.peakMemoryMb() + " MB");
   }
 
+  /** Guards against values that are kept while their clients write them over seconds. */
+  @ParameterizedTest
+  @ValueSource(ints = {96, 192})
+  void usualRequestsBesideClientsThatWriteSlowlyAreAnswered(int memoryMb) throws Exception {
+    startProxy(memoryMb);
+    slowClients.writeSlowly(CLIENTS, 3000, 100);
+    assertUsualRequestsAreAnsweredWithinTheMemory();
+  }
+
+  /** Guards against the same with clients that stop half way. */
+  @ParameterizedTest
+  @ValueSource(ints = {96, 192})
+  void usualRequestsBesideClientsThatStopHalfWayAreAnswered(int memoryMb) throws Exception {
+    startProxy(memoryMb);
+    slowClients.stopWithinValue(CLIENTS, 32_000);
+    assertUsualRequestsAreAnsweredWithinTheMemory();
+  }
+
+  /** Guards against objects for each of very many fields, which take more than their bytes. */
+  @ParameterizedTest
+  @CsvSource({"96, true", "96, false", "192, true"})
+  void usualRequestsBesideHeadsOfVeryManyShortFieldsAreAnswered(int memoryMb, boolean complete)
+      throws Exception {
+    startProxy(memoryMb);
+    String flags = " q".repeat(960);
+    String labels = " Pc=read" + ",a=".repeat(600);
+    String end = complete ? "\r\n" : "";
+    slowClients.stopAfter(CLIENTS / 2, "mg k v" + flags + end);
+    slowClients.stopAfter(CLIENTS / 2, "ms k 65536" + labels + end);
+    assertUsualRequestsAreAnsweredWithinTheMemory();
+  }
+
+  /** Guards against responses that are kept for clients which do not read them. */
+  @ParameterizedTest
+  @CsvSource({"96, 20", "96, 1000000", "128, 20", "192, 20", "192, 1000000"})
+  void usualRequestsBesideClientsThatReadSlowlyAreAnswered(int memoryMb, long intervalMs)
+      throws Exception {
+    startProxy(memoryMb);
+    cluster.onLoop(() -> cluster.setValue("v".repeat(VALUE_BYTES)));
+    slowClients.readSlowly(CLIENTS / 4, this::pipelinedReads, intervalMs);
+    assertUsualRequestsAreAnsweredWithinTheMemory();
+  }
+
   /** Guards against the objects of thousands of requests that wait for nodes. */
   @ParameterizedTest
   @ValueSource(ints = {96, 192})
