--- a/src/test/java/pathgw/upstream/OriginConnectionTest.java
+++ b/src/test/java/pathgw/upstream/OriginConnectionTest.java
@@ -44,6 +44,24 @@
     return (ends.isEmpty() ? "nothing" : ends.remove(0)) + (connection.closed ? " closed" : "");
   }
 
+  /** Guards against heads that take memory which is not counted. */
+  @Test
+  void headsOfManyHeadersAreCountedAndLongOnesAreMalformed() throws Exception {
+    FakeConnection connection = sendToOrigin("mg k1 v Oa1 Pc=read");
+    connection.deliver("HTTP/1.1 200 OK\r\n");
+    for (int i = 0; i < 60; i++) {
+      connection.deliver("x" + i + ":\r\n");
+    }
+    assertTrue(memory.totalBytes() > 60 * 100, memory.totalBytes() + " bytes");
+    String header = ": " + "v".repeat(8000) + "\r\n";
+    assertEquals(
+        "PROTOCOL_ERROR closed",
+        attemptAtOrigin(
+            "mg k1 v Oa2 Pc=read",
+            "HTTP/1.1 200 OK\r\na" + header + "b" + header + "c" + header + "d" + header,
+            "e" + header));
+  }
+
   @Test
   void largestOfManyEndlessResponsesIsGivenUpOnceMemoryIsUsedUp() throws Exception {
     ConnectionLimit limit = new ConnectionLimit(8);
