--- a/src/test/java/pathgw/discovery/DiscoveryTest.java
+++ b/src/test/java/pathgw/discovery/DiscoveryTest.java
@@ -314,8 +314,7 @@
             timers,
             CONFIG,
             8);
-    requestHandler =
-        new RequestHandler(timers, driver, pools, CONFIG.responseSlack(), RequestObserver.NONE);
+    requestHandler = new RequestHandler(timers, driver, pools, CONFIG, RequestObserver.NONE);
     Discovery discovery = discovery();
     apply(discovery, completeList(5, "ready"));
     FakeConnection client = client();
--- a/src/test/java/pathgw/server/FleetSizeTest.java
+++ b/src/test/java/pathgw/server/FleetSizeTest.java
@@ -166,7 +166,7 @@
     assertTrue(list.length() > 1 << 20, list.length() + " bytes");
     sendEndpointList(list);
     RequestHandler requestHandler =
-        new RequestHandler(timers, driver, pools, config.responseSlack(), RequestObserver.NONE);
+        new RequestHandler(timers, driver, pools, config, RequestObserver.NONE);
     sendReads(200, config, timers, requestHandler);
     long nodes =
         transport.dialled.stream().filter(s -> s.written.toString().startsWith("mg")).count();
