Do not count the time of a pause for a client that is half way through a command

What callers saw: at a graceful shutdown, commands behind reads that took over 0.5 s got no response when their connection ended.

The command that is half read when reading is paused counts as incomplete; after 0.5 s its client is taken for one that has stopped. ClientInput noted the end of the pause after it had read the commands that it held, and the connection decides about its end within that reading. In the same way the first part of a command that came after the drain was dated from the command before it.

Change: the end of a pause is noted before anything is read, the start of an incomplete command before the connection is judged, and the wait for its rest counts from the end of the pause.

--- a/src/main/java/pathgw/client/ClientInput.java
+++ b/src/main/java/pathgw/client/ClientInput.java
@@ -138,7 +138,7 @@
    */
   Duration settledAt() {
     if (hasPartialCommand()) {
-      return lastReceivedAt.plus(MAX_PAUSE_WITHIN_COMMAND);
+      return quietSince().plus(MAX_PAUSE_WITHIN_COMMAND);
     }
     return backlogged ? quietSince().plus(SETTLE_TIME) : Duration.ZERO;
   }
@@ -183,12 +183,7 @@
     }
     lastReceivedAt = now;
     receiveCount++;
-    long commandsBefore = commands.count();
-    boolean isBetweenCommands = !hasPartialCommand();
     read(() -> commands.receive(bytes));
-    if (isBetweenCommands || commands.count() > commandsBefore) {
-      partialCommandSince = now;
-    }
     if (admission.isWaiting()) {
       connection.pause();
     }
@@ -219,19 +214,24 @@
     try {
       paused = false;
       pausedFor = timers.now().minus(pausedAt);
+      pauseEnded();
       read(commands::resume);
       pausedFor = Duration.ZERO;
-      partialCommandSince = timers.now();
     } finally {
       resuming = false;
     }
     resumeConnection();
   }
 
+  /** Must be called before anything is read: the time of the pause is not the client's. */
+  private void pauseEnded() {
+    backlogged = true;
+    resumedAt = timers.now();
+    partialCommandSince = resumedAt;
+  }
+
   private void resumeConnection() {
     if (!isPaused()) {
-      backlogged = true;
-      resumedAt = timers.now();
       connection.resume();
     }
   }
@@ -253,12 +253,17 @@
    * that are answered immediately must not cost one write each.
    */
   private void read(Runnable readCommands) {
+    long commandsBefore = commands.count();
+    boolean isBetweenCommands = !hasPartialCommand();
     reading = true;
     try {
       readCommands.run();
     } finally {
       reading = false;
     }
+    if (isBetweenCommands || commands.count() > commandsBefore) {
+      partialCommandSince = timers.now();
+    }
     owner.inputRead();
   }
 
@@ -290,8 +295,8 @@
     }
 
     private void readOn() {
+      pauseEnded();
       read(commands::readOn);
-      partialCommandSince = timers.now();
       resumeConnection();
     }
   }
