Retry a keyed request only in the group of the process that it was sent to

Cause: AttemptRules asked for the zone and cell of the node by its name, as the list has it now, not as it was when the attempt was sent.

Change: AttemptState keeps both from when the attempt was sent.

--- a/src/main/java/pathgw/decision/AttemptState.java
+++ b/src/main/java/pathgw/decision/AttemptState.java
@@ -1,6 +1,7 @@
 package pathgw.decision;
 
 import java.time.Duration;
+import pathgw.decision.Settings.DedupScope;
 
 /** One attempt of a request at one node. */
 final class AttemptState {
@@ -11,6 +12,11 @@
 
   final NodeState node;
 
+  /** The zone and the cell of the process that the attempt was sent to. */
+  private final int zone;
+
+  private final int cell;
+
   /** When the engine decided on the attempt. */
   final Duration sentAt;
 
@@ -37,6 +43,20 @@
     this.number = request.attempts.size();
     this.node = node;
     this.sentAt = sentAt;
+    zone = node.zone;
+    cell = node.cell;
+  }
+
+  /**
+   * Whether a node knows the idempotency keys of the process that the attempt was sent to, given
+   * the scope of the class. Another process may have come up under the same name elsewhere since.
+   */
+  boolean sharesDedupScope(DedupScope scope, NodeState other) {
+    return switch (scope) {
+      case ALL -> true;
+      case ZONE -> zone == other.zone;
+      case CELL -> cell == other.cell;
+    };
   }
 
   /** Whether the node may have executed the request, also while the attempt is in flight. */
--- a/src/test/java/pathgw/decision/AttemptRulesTest.java
+++ b/src/test/java/pathgw/decision/AttemptRulesTest.java
@@ -60,6 +60,22 @@
     assertEquals(1, fixture.count("fail"));
   }
 
+  /** Guards against a retry where the key is not known, since the node has come up elsewhere. */
+  @Test
+  void keyedRequestStaysInTheDedupScopeOfTheProcessThatItWasSentTo() {
+    DecisionEngineFixture fixture =
+        new DecisionEngineFixture(true, Effect.IDEMPOTENCY_KEYED, DedupScope.ZONE, List.of())
+            .withEndpoints(1, 2)
+            .requestArrived(1, 8)
+            .decideAll();
+    long firstNode = fixture.attemptedNodes.get(0);
+    int otherZone = firstNode == 1 ? 2 : 1;
+    fixture.at(5).withEndpointRestartedIn(otherZone, firstNode, DecisionEngineFixture.ms(-9000));
+    fixture.at(10).attemptEnded(1, 0, AttemptOutcome.CONNECTION_LOST).decideAll();
+    assertEquals(1, fixture.count("attempt"));
+    assertEquals(1, fixture.count("fail"));
+  }
+
   @Test
   void drainingNodeGetsNoNewAttempt() {
     DecisionEngineFixture fixture =
