Read ahead while 16 responses are pending, so that a close behind the commands is seen

Cause: while 16 responses were pending nothing was read from the client. The kernel's receive window filled up, and the close stayed behind it, where nothing can be asked for it.

Change: handling and reading pause apart. Commands are read ahead, up to 1 MiB for each connection and while half of the memory for clients is free; the bytes count there. Otherwise the connection is paused as before.

--- a/src/main/java/pathgw/algorithm/MemoryBudget.java
+++ b/src/main/java/pathgw/algorithm/MemoryBudget.java
@@ -79,6 +79,11 @@
     return totalBytes;
   }
 
+  /** Whether bytes may be kept that could as well be kept elsewhere. */
+  public boolean isHalfFree() {
+    return totalBytes <= limitBytes / 2;
+  }
+
   /**
    * Whether so many bytes more may be kept. Sheds holders that have stopped if that makes the room.
    */
--- a/src/main/java/pathgw/client/ClientInput.java
+++ b/src/main/java/pathgw/client/ClientInput.java
@@ -35,8 +35,15 @@
   /** A client that takes longer than this for one command is not waited for. */
   private static final Duration MAX_COMMAND_DURATION = Duration.ofMillis(500);
 
+  /**
+   * How many bytes behind the commands that are handled are read at most, so that the close of a
+   * client which has left is seen behind them.
+   */
+  private static final int MAX_READ_AHEAD_BYTES = 1 << 20;
+
   private final Connection connection;
   private final EventLoopTimers timers;
+  private final MemoryBudget memory;
   private final Owner owner;
   private final MemoryAdmission admission;
   private final CommandReader commands;
@@ -78,6 +85,7 @@
       Function<MemoryAdmission, CommandReader.Handler> handler) {
     this.connection = connection;
     this.timers = timers;
+    this.memory = memory;
     this.owner = owner;
     admission = new MemoryAdmission(memory, timers, new AwaitedWrite());
     commands = new CommandReader(handler.apply(admission));
@@ -155,7 +163,7 @@
 
   // Reading.
 
-  /** Whether nothing is read until responses have been sent, or memory is free. */
+  /** Whether no command is handled until responses have been sent, or memory is free. */
   boolean isPaused() {
     return paused || admission.isWaiting();
   }
@@ -184,17 +192,25 @@
     lastReceivedAt = now;
     receiveCount++;
     read(() -> commands.receive(bytes));
-    if (admission.isWaiting()) {
+    if (isPaused() && !mayReadAhead()) {
       connection.pause();
     }
   }
 
-  /** Reads no further command until {@link #resume}. */
+  /** Handles no further command until {@link #resume}. */
   void pause() {
     paused = true;
     pausedAt = timers.now();
     commands.pause();
-    connection.pause();
+    if (!mayReadAhead()) {
+      connection.pause();
+    }
+  }
+
+  private boolean mayReadAhead() {
+    return !admission.isWaiting()
+        && commands.heldBytes() < MAX_READ_AHEAD_BYTES
+        && memory.isHalfFree();
   }
 
   /**
