--- a/src/test/java/pathgw/soak/ConnectionEndIT.java
+++ b/src/test/java/pathgw/soak/ConnectionEndIT.java
@@ -2,26 +2,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.vertx.core.Vertx;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** The proxy ends connections of clients that still send commands or read responses. */
 @Timeout(60)
-class ConnectionEndIT {
+class ConnectionEndIT extends SoakFixture {
   private static final int DESCRIPTORS = 256;
   private static final int IDLE_CONNECTIONS = 100;
   private static final int ROUNDS = 1500;
@@ -34,31 +27,6 @@
   private static final long SLOW_READ_INTERVAL_MS = 20;
   private static final long SLOW_READING_MS = 5500;
 
-  @TempDir Path folder;
-  private final Vertx vertx = SoakCluster.vertx();
-  private final Random random = new Random(1);
-  private final SoakCluster cluster = new SoakCluster(vertx, random);
-  private ProxyProcess proxy;
-  private SoakClients clients;
-
-  @BeforeEach
-  void startCluster() throws Exception {
-    cluster.start();
-  }
-
-  private void startProxy(int descriptors) throws Exception {
-    proxy = new ProxyProcess(folder, cluster.discoveryPort(), 1, descriptors);
-    proxy.awaitServing();
-    clients = new SoakClients(vertx, cluster, random, proxy.port, "e");
-  }
-
-  @AfterEach
-  void end() throws Exception {
-    proxy.kill();
-    clients.close();
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-  }
-
   private List<String> closesOverUndeliveredCommands() throws Exception {
     return proxy
         .log()
@@ -69,7 +37,7 @@
 
   @Test
   void commandReadWhileItsIdleConnectionIsClosedForAnotherClientIsAnswered() throws Exception {
-    startProxy(DESCRIPTORS);
+    useProxy(new ProxyProcess(folder, cluster.discoveryPort(), 1, DESCRIPTORS));
     clients.openIdle(IDLE_CONNECTIONS);
     Thread.sleep(500);
     for (int i = 0; i < ROUNDS; i++) {
@@ -88,7 +56,7 @@
   /** The responses exceed what the kernel buffers, so the last ones wait in the proxy. */
   @Test
   void responsesReadSlowlyAreWholeThoughTheConnectionCountsAsIdle() throws Exception {
-    startProxy(2 * DESCRIPTORS);
+    useProxy(new ProxyProcess(folder, cluster.discoveryPort(), 1, 2 * DESCRIPTORS));
     List<ClientRequest> requests = new ArrayList<>();
     for (int i = 0; i < LONG_RESPONSES; i++) {
       ClientRequest request =
--- a/src/test/java/pathgw/soak/DescriptorsIT.java
+++ b/src/test/java/pathgw/soak/DescriptorsIT.java
@@ -2,20 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.vertx.core.Vertx;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Uses up the descriptors of the proxy process, while other clients send requests. */
 @Timeout(60)
-class DescriptorsIT {
+class DescriptorsIT extends SoakFixture {
   private static final int DESCRIPTORS = 256;
   private static final int CROWD = 300;
   private static final int ROUNDS = 5;
@@ -26,26 +20,9 @@
   private static final long LONG_TIMEOUT_MS = 1200;
   private static final long LEAVE_AFTER_MS = 50;
 
-  @TempDir Path folder;
-  private final Vertx vertx = SoakCluster.vertx();
-  private final Random random = new Random(1);
-  private final SoakCluster cluster = new SoakCluster(vertx, random);
-  private ProxyProcess proxy;
-  private SoakClients clients;
-
   @BeforeEach
   void start() throws Exception {
-    cluster.start();
-    proxy = new ProxyProcess(folder, cluster.discoveryPort(), 1, DESCRIPTORS);
-    proxy.awaitServing();
-    clients = new SoakClients(vertx, cluster, random, proxy.port, "d");
-  }
-
-  @AfterEach
-  void end() throws Exception {
-    proxy.kill();
-    clients.close();
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    useProxy(new ProxyProcess(folder, cluster.discoveryPort(), 1, DESCRIPTORS));
   }
 
   /**
@@ -68,13 +45,6 @@
     Thread.sleep(LONG_TIMEOUT_MS);
   }
 
-  private List<String> lostRequests() {
-    return cluster.requests.values().stream()
-        .filter(ClientRequest::isLost)
-        .map(ClientRequest::toString)
-        .toList();
-  }
-
   @Test
   void requestsBesideACrowdThatUsesUpDescriptorsAreAnsweredInTime() throws Exception {
     sendBesideCrowd(
@@ -87,9 +57,7 @@
   void requestsBesideACrowdAreAnsweredThoughTheProcessMayOpenFewerDescriptorsThanConfigured()
       throws Exception {
     proxy.kill();
-    proxy = new ProxyProcess(folder, cluster.discoveryPort(), 2, 4 * DESCRIPTORS, DESCRIPTORS);
-    proxy.awaitServing();
-    clients = new SoakClients(vertx, cluster, random, proxy.port, "f");
+    useProxy(new ProxyProcess(folder, cluster.discoveryPort(), 2, 4 * DESCRIPTORS, DESCRIPTORS));
     sendBesideCrowd(
         () -> clients.send(RequestClass.READ, TIMEOUT_MS, true), REQUESTS_PER_ROUND - 1);
     assertEquals(List.of(), cluster.violations, proxy.log());
--- a/src/test/java/pathgw/soak/ExhaustionIT.java
+++ b/src/test/java/pathgw/soak/ExhaustionIT.java
@@ -4,20 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Vertx;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /** Other clients and the origin use up memory or the event loop beside usual requests. */
 @Timeout(60)
-class ExhaustionIT {
+class ExhaustionIT extends SoakFixture {
   private static final int STOPPING_CLIENTS = 480;
   private static final int WRITTEN_BYTES = 40_000;
   private static final int FLOODING_CLIENTS = 20;
@@ -28,34 +22,18 @@
   private static final long REQUEST_INTERVAL_MS = 12;
   private static final long LONGEST_WAIT_MS = 1800;
 
-  @TempDir Path folder;
-  private final Vertx vertx = SoakCluster.vertx();
-  private final Random random = new Random(1);
-  private final SoakCluster cluster = new SoakCluster(vertx, random);
-  private ProxyProcess proxy;
-  private SoakClients clients;
   private BadClients badClients;
 
-  @BeforeEach
-  void startCluster() throws Exception {
-    cluster.start();
-  }
-
-  private void startProxy(int memoryMb) throws Exception {
-    proxy = ProxyProcess.withMemory(folder, cluster.discoveryPort(), 1, memoryMb);
-    proxy.awaitServing();
-    clients = new SoakClients(vertx, cluster, random, proxy.port, "x");
+  private void startProxyAndRequests(int memoryMb) throws Exception {
+    startProxy(memoryMb);
     badClients = new BadClients(proxy.port);
     clients.openIdle(USUAL_CONNECTIONS);
     sendRequests(REQUESTS / 4);
   }
 
   @AfterEach
-  void end() throws Exception {
-    proxy.kill();
+  void stopBadClients() throws Exception {
     badClients.stop();
-    clients.close();
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
 
   private void sendRequests(int count) throws Exception {
@@ -68,12 +46,7 @@
 
   private void assertNothingLost() throws Exception {
     Thread.sleep(LONGEST_WAIT_MS);
-    List<String> lost =
-        cluster.requests.values().stream()
-            .filter(ClientRequest::isLost)
-            .map(ClientRequest::toString)
-            .toList();
-    assertEquals(List.of(), lost, proxy.log());
+    assertEquals(List.of(), lostRequests(), proxy.log());
     assertEquals(List.of(), cluster.violations, proxy.log());
     assertFalse(proxy.log().contains("OutOfMemoryError"), proxy.log());
     assertFalse(proxy.log().contains("StackOverflowError"), proxy.log());
@@ -81,7 +54,7 @@
 
   @Test
   void requestsBesideHundredsOfHalfWrittenValuesAreAnswered() throws Exception {
-    startProxy(ProxyProcess.MEMORY_MB);
+    startProxyAndRequests(ProxyProcess.MEMORY_MB);
     badClients.stopWithinValue(STOPPING_CLIENTS, WRITTEN_BYTES);
     sendRequests(REQUESTS);
     assertNothingLost();
@@ -89,7 +62,7 @@
 
   @Test
   void requestsBesideHalfWrittenValuesAreAnsweredInTheSmallestProcess() throws Exception {
-    startProxy(SMALLEST_MEMORY_MB);
+    startProxyAndRequests(SMALLEST_MEMORY_MB);
     badClients.stopWithinValue(STOPPING_CLIENTS, WRITTEN_BYTES);
     sendRequests(REQUESTS);
     assertNothingLost();
@@ -97,7 +70,7 @@
 
   @Test
   void requestsBesideRepliesWithoutAnEndAreAnswered() throws Exception {
-    startProxy(SMALLEST_MEMORY_MB);
+    startProxyAndRequests(SMALLEST_MEMORY_MB);
     cluster.onLoop(() -> cluster.setRepliesPerEndlessReply(REPLIES_PER_ENDLESS_REPLY));
     sendRequests(REQUESTS);
     assertNothingLost();
@@ -106,7 +79,7 @@
 
   @Test
   void requestsBesideAFloodOfUnreadableLinesAreAnswered() throws Exception {
-    startProxy(ProxyProcess.MEMORY_MB);
+    startProxyAndRequests(ProxyProcess.MEMORY_MB);
     badClients.flood(FLOODING_CLIENTS, "hello\r\n");
     sendRequests(REQUESTS);
     assertNothingLost();
@@ -114,7 +87,7 @@
 
   @Test
   void requestsBesideAFloodOfEmptyLinesAreAnswered() throws Exception {
-    startProxy(ProxyProcess.MEMORY_MB);
+    startProxyAndRequests(ProxyProcess.MEMORY_MB);
     badClients.flood(FLOODING_CLIENTS, "\r\n");
     sendRequests(REQUESTS);
     assertNothingLost();
--- a/src/test/java/pathgw/soak/FloodIT.java
+++ b/src/test/java/pathgw/soak/FloodIT.java
@@ -3,16 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -21,19 +16,13 @@
  * names. Other clients must get their answers in time, and memory must not grow.
  */
 @Timeout(60)
-class FloodIT {
+class FloodIT extends SoakFixture {
   private static final int USUAL_REQUESTS = 500;
   private static final long USUAL_INTERVAL_MS = 10;
   private static final int USUAL_CONNECTIONS = 20;
   private static final long LONGEST_WAIT_MS = 1800;
   private static final int COMMANDS_PER_BUFFER = 500;
 
-  @TempDir Path folder;
-  private final Vertx vertx = SoakCluster.vertx();
-  private final Random random = new Random(1);
-  private final SoakCluster cluster = new SoakCluster(vertx, random);
-  private ProxyProcess proxy;
-  private SoakClients usualClients;
   private BadClients floodingClient;
   private int commands;
 
@@ -59,16 +48,12 @@
 
   @BeforeEach
   void start() throws Exception {
-    cluster.start();
     cluster.acceptUnknownRequests();
   }
 
   @AfterEach
-  void end() throws Exception {
-    proxy.kill();
+  void stopBadClients() throws Exception {
     floodingClient.stop();
-    usualClients.close();
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
 
   private Buffer nextCommands(Flood flood) {
@@ -82,7 +67,7 @@
   private void sendUsualRequests() throws Exception {
     for (int i = 0; i < USUAL_REQUESTS; i++) {
       RequestClass requestClass = i % 2 == 0 ? RequestClass.READ : RequestClass.WRITE;
-      cluster.onLoop(() -> usualClients.sendPatiently(requestClass));
+      cluster.onLoop(() -> clients.sendPatiently(requestClass));
       Thread.sleep(USUAL_INTERVAL_MS);
     }
   }
@@ -105,12 +90,10 @@
     "WRITES_UNDER_NEW_NAMES, 96"
   })
   void usualRequestsBesideAFloodAreAnsweredInTime(Flood flood, int memoryMb) throws Exception {
-    proxy = ProxyProcess.withMemory(folder, cluster.discoveryPort(), 1, memoryMb);
-    proxy.awaitServing();
+    startProxy(memoryMb);
     Thread.sleep(500);
-    usualClients = new SoakClients(vertx, cluster, random, proxy.port, "u");
     floodingClient = new BadClients(proxy.port);
-    usualClients.openIdle(USUAL_CONNECTIONS);
+    clients.openIdle(USUAL_CONNECTIONS);
     floodingClient.flood(1, () -> nextCommands(flood));
     sendUsualRequests();
     Thread.sleep(LONGEST_WAIT_MS);
--- a/src/test/java/pathgw/soak/RepeatedIdIT.java
+++ b/src/test/java/pathgw/soak/RepeatedIdIT.java
@@ -3,49 +3,26 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Vertx;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Clients leave before they have a response and send the same request once more. */
 @Timeout(60)
-class RepeatedIdIT {
+class RepeatedIdIT extends SoakFixture {
   private static final int REQUESTS = 350;
   private static final long INTERVAL_MS = 12;
   private static final int ORIGIN_DELAY_MS = 200;
   private static final long LONGEST_WAIT_MS = 2000;
 
-  @TempDir Path folder;
-  private final Vertx vertx = SoakCluster.vertx();
-  private final Random random = new Random(1);
-  private final SoakCluster cluster = new SoakCluster(vertx, random);
-  private ProxyProcess proxy;
-  private SoakClients clients;
-
-  @AfterEach
-  void end() throws Exception {
-    proxy.kill();
-    clients.close();
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-  }
-
   /** Guards against an effect that takes place twice since its client has not waited. */
   @ParameterizedTest
   @CsvSource({"96, 30, 0", "96, 30, 300", "128, 120, 50", "192, 30, 1000"})
   void requestOfAClientThatLeftAndComesAgainDoesNotRunTwice(
       int memoryMb, long leaveAfterMs, long pauseMs) throws Exception {
-    cluster.start();
-    proxy = ProxyProcess.withMemory(folder, cluster.discoveryPort(), 1, memoryMb);
-    proxy.awaitServing();
+    startProxy(memoryMb);
     Thread.sleep(500);
-    clients = new SoakClients(vertx, cluster, random, proxy.port, "r");
     cluster.onLoop(() -> cluster.setOriginDelay(ORIGIN_DELAY_MS));
     for (int i = 0; i < REQUESTS; i++) {
       cluster.onLoop(() -> clients.leaveAndComeAgain(RequestClass.BOOKING, leaveAfterMs, pauseMs));
--- a/src/test/java/pathgw/soak/ReplacedNodeIT.java
+++ b/src/test/java/pathgw/soak/ReplacedNodeIT.java
@@ -3,33 +3,20 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Vertx;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** A new process comes up at the address of a cache node that has gone, under another name. */
 @Timeout(60)
-class ReplacedNodeIT {
+class ReplacedNodeIT extends SoakFixture {
   private static final int READS = 200;
   private static final long INTERVAL_MS = 8;
   private static final long LONGEST_WAIT_MS = 1800;
   private static final long LIST_DELAY_MS = 300;
   private static final int REPLACED = 0;
 
-  @TempDir Path folder;
-  private final Vertx vertx = SoakCluster.vertx();
-  private final Random random = new Random(1);
-  private final SoakCluster cluster = new SoakCluster(vertx, random);
-  private ProxyProcess proxy;
-  private SoakClients clients;
-
   /** What the endpoint list says once the new process is ready. */
   private enum ListUpdate {
     CHANGE_NAMES_THE_NEW_ONE,
@@ -38,13 +25,6 @@
     COMPLETE_LIST_HAS_THE_NEW_ONE
   }
 
-  @AfterEach
-  void end() throws Exception {
-    proxy.kill();
-    clients.close();
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-  }
-
   private void announce(ListUpdate update) {
     String former = cluster.nodeEntry(REPLACED);
     String replacement = cluster.replacementEntry(REPLACED, System.currentTimeMillis());
@@ -77,10 +57,7 @@
   })
   void newProcessAtTheAddressOfAnotherIsNotTakenForIt(int memoryMb, ListUpdate update)
       throws Exception {
-    cluster.start();
-    proxy = ProxyProcess.withMemory(folder, cluster.discoveryPort(), 1, memoryMb);
-    proxy.awaitServing();
-    clients = new SoakClients(vertx, cluster, random, proxy.port, "p");
+    startProxy(memoryMb);
     for (int i = 0; i < READS; i++) {
       cluster.onLoop(() -> clients.sendPatiently(RequestClass.READ));
       Thread.sleep(INTERVAL_MS);
--- a/src/test/java/pathgw/soak/SlowClientsIT.java
+++ b/src/test/java/pathgw/soak/SlowClientsIT.java
@@ -4,18 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vertx.core.Vertx;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -25,7 +19,7 @@
  * within its memory, and the usual requests must be answered.
  */
 @Timeout(60)
-class SlowClientsIT {
+class SlowClientsIT extends SoakFixture {
   private static final int CLIENTS = 480;
   private static final int USUAL_REQUESTS = 400;
   private static final long USUAL_INTERVAL_MS = 12;
@@ -34,44 +28,28 @@
   private static final int VALUE_BYTES = 64_000;
   private static final int PIPELINED = 16;
 
-  @TempDir Path folder;
-  private final Vertx vertx = SoakCluster.vertx();
-  private final Random random = new Random(1);
-  private final SoakCluster cluster = new SoakCluster(vertx, random);
   private final AtomicInteger slowRequests = new AtomicInteger();
   private int memoryMb;
-  private ProxyProcess proxy;
-  private SoakClients usualClients;
   private BadClients slowClients;
 
-  @BeforeEach
-  void start() throws Exception {
-    cluster.start();
-  }
-
-  private void startProxy(int memoryMb) throws Exception {
+  private void startProxyAndRequests(int memoryMb) throws Exception {
     this.memoryMb = memoryMb;
-    proxy = ProxyProcess.withMemory(folder, cluster.discoveryPort(), 1, memoryMb);
-    proxy.awaitServing();
+    startProxy(memoryMb);
     Thread.sleep(500);
-    usualClients = new SoakClients(vertx, cluster, random, proxy.port, "u");
     slowClients = new BadClients(proxy.port);
-    usualClients.openIdle(USUAL_CONNECTIONS);
+    clients.openIdle(USUAL_CONNECTIONS);
     sendUsualRequests(USUAL_REQUESTS / 8);
   }
 
   @AfterEach
-  void end() throws Exception {
-    proxy.kill();
+  void stopBadClients() throws Exception {
     slowClients.stop();
-    usualClients.close();
-    vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
 
   private void sendUsualRequests(int count) throws Exception {
     for (int i = 0; i < count; i++) {
       RequestClass requestClass = i % 2 == 0 ? RequestClass.READ : RequestClass.WRITE;
-      cluster.onLoop(() -> usualClients.sendPatiently(requestClass));
+      cluster.onLoop(() -> clients.sendPatiently(requestClass));
       Thread.sleep(USUAL_INTERVAL_MS);
     }
   }
@@ -81,7 +59,7 @@
     Thread.sleep(LONGEST_WAIT_MS);
     List<String> lost =
         cluster.requests.values().stream()
-            .filter(request -> request.id.startsWith("u"))
+            .filter(request -> !request.id.startsWith("s"))
             .filter(ClientRequest::isLost)
             .map(ClientRequest::toString)
             .toList();
@@ -95,7 +73,7 @@
   @ParameterizedTest
   @ValueSource(ints = {96, 192})
   void usualRequestsBesideClientsThatWriteSlowlyAreAnswered(int memoryMb) throws Exception {
-    startProxy(memoryMb);
+    startProxyAndRequests(memoryMb);
     slowClients.writeSlowly(CLIENTS, 3000, 100);
     assertUsualRequestsAreAnsweredWithinTheMemory();
   }
@@ -104,7 +82,7 @@
   @ParameterizedTest
   @ValueSource(ints = {96, 192})
   void usualRequestsBesideClientsThatStopHalfWayAreAnswered(int memoryMb) throws Exception {
-    startProxy(memoryMb);
+    startProxyAndRequests(memoryMb);
     slowClients.stopWithinValue(CLIENTS, 32_000);
     assertUsualRequestsAreAnsweredWithinTheMemory();
   }
@@ -114,7 +92,7 @@
   @CsvSource({"96, true", "96, false", "192, true"})
   void usualRequestsBesideHeadsOfVeryManyShortFieldsAreAnswered(int memoryMb, boolean complete)
       throws Exception {
-    startProxy(memoryMb);
+    startProxyAndRequests(memoryMb);
     String flags = " q".repeat(960);
     String labels = " Pc=read" + ",a=".repeat(600);
     String end = complete ? "\r\n" : "";
@@ -128,7 +106,7 @@
   @CsvSource({"96, 20", "96, 1000000", "128, 20", "192, 20", "192, 1000000"})
   void usualRequestsBesideClientsThatReadSlowlyAreAnswered(int memoryMb, long intervalMs)
       throws Exception {
-    startProxy(memoryMb);
+    startProxyAndRequests(memoryMb);
     cluster.onLoop(() -> cluster.setValue("v".repeat(VALUE_BYTES)));
     slowClients.readSlowly(CLIENTS / 4, this::pipelinedReads, intervalMs);
     assertUsualRequestsAreAnsweredWithinTheMemory();
@@ -138,7 +116,7 @@
   @ParameterizedTest
   @ValueSource(ints = {96, 192})
   void usualRequestsBesideThousandsOfReadsAtHangingNodesAreAnswered(int memoryMb) throws Exception {
-    startProxy(memoryMb);
+    startProxyAndRequests(memoryMb);
     cluster.onLoop(() -> cluster.setHangingNodes(SoakCluster.NODES));
     slowClients.readSlowly(CLIENTS, this::pipelinedReads, 20);
     assertUsualRequestsAreAnsweredWithinTheMemory();
