Stop flooding clients in tests only once the proxy has ended, as before

Cause: with the base class they were stopped while the proxy still ran.

Change: SoakFixture kills the process, then stops the other clients, as each test did by itself.

--- a/src/test/java/pathgw/soak/ExhaustionIT.java
+++ b/src/test/java/pathgw/soak/ExhaustionIT.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -31,8 +30,8 @@
     sendRequests(REQUESTS / 4);
   }
 
-  @AfterEach
-  void stopBadClients() throws Exception {
+  @Override
+  void stopOtherClients() throws Exception {
     badClients.stop();
   }
 
--- a/src/test/java/pathgw/soak/FloodIT.java
+++ b/src/test/java/pathgw/soak/FloodIT.java
@@ -5,7 +5,6 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -51,8 +50,8 @@
     cluster.acceptUnknownRequests();
   }
 
-  @AfterEach
-  void stopBadClients() throws Exception {
+  @Override
+  void stopOtherClients() throws Exception {
     floodingClient.stop();
   }
 
--- a/src/test/java/pathgw/soak/SlowClientsIT.java
+++ b/src/test/java/pathgw/soak/SlowClientsIT.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -41,8 +40,8 @@
     sendUsualRequests(USUAL_REQUESTS / 8);
   }
 
-  @AfterEach
-  void stopBadClients() throws Exception {
+  @Override
+  void stopOtherClients() throws Exception {
     slowClients.stop();
   }
 
--- a/src/test/java/pathgw/soak/SoakFixture.java
+++ b/src/test/java/pathgw/soak/SoakFixture.java
@@ -46,9 +46,16 @@
         .toList();
   }
 
+  /**
+   * Stops the clients that a test has beside {@link #clients}. The process has ended before: the
+   * connection of a client that floods closes only once its bytes are read, or cannot be sent.
+   */
+  void stopOtherClients() throws Exception {}
+
   @AfterEach
   void endProxyAndClients() throws Exception {
     proxy.kill();
+    stopOtherClients();
     clients.close();
     vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
   }
